--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples that run the product."""
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement tool; not part of the package."""
--- /dev/null
+++ b/src/verbenacross/agent/entry_link.py
@@ -0,0 +1,99 @@
+"""Link between an agent and one entry of its instance."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import logbook
+from websockets.exceptions import ConnectionClosed
+
+from ..protocol import ProtocolError, decode_message, encode_message
+from ..protocol.messages import (
+    AppliedWatermark,
+    DirectoryUpdates,
+    EntryHello,
+    Message,
+    RecordCopies,
+    Watermark,
+)
+
+if TYPE_CHECKING:
+    from websockets.asyncio.server import ServerConnection
+
+    from ..policy import PolicyRecord
+    from .agent import Agent
+
+MAX_QUEUED_MESSAGES = 4_096
+
+logger = logbook.Logger("verbenacross.agent.entry_link")
+
+
+class EntryLink:
+    """Sends policies, directory and observations to an entry; one task a direction.
+
+    An entry that does not take its messages is disconnected and starts again with a
+    snapshot, so that the queue stays bounded.
+    """
+
+    def __init__(self, agent: Agent, connection: ServerConnection) -> None:
+        self._agent = agent
+        self._connection = connection
+        self._queue: asyncio.Queue[Message] = asyncio.Queue(MAX_QUEUED_MESSAGES)
+        self.entry = ""
+        self.applied_revision = 0
+
+    async def run(self) -> None:
+        """Serves the entry until the connection closes."""
+        try:
+            await self._greet()
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._send_queued())
+                tasks.create_task(self._receive())
+        except* (ConnectionClosed, ProtocolError) as error:
+            logger.info(
+                "entry link closed", extra={"entry": self.entry, "error": error}
+            )
+
+    def send(self, message: Message) -> None:
+        """Queues a message without waiting."""
+        try:
+            self._queue.put_nowait(message)
+        except asyncio.QueueFull:
+            self._connection.transport.abort()
+
+    def send_record(self, record: PolicyRecord) -> None:
+        """Queues a copy of a policy record."""
+        self.send(RecordCopies((record,)))
+
+    def send_directory(self, updates: DirectoryUpdates) -> None:
+        """Queues changes of the directory."""
+        self.send(updates)
+
+    def send_watermark(self, revision: int) -> None:
+        """Queues the store revision that earlier messages are complete up to."""
+        self.send(Watermark(revision))
+
+    async def _greet(self) -> None:
+        hello = decode_message(await self._connection.recv())
+        if not isinstance(hello, EntryHello):
+            raise ProtocolError(f"expected EntryHello, got {type(hello).__name__}")
+        self.entry = hello.entry
+        self.send(RecordCopies(tuple(self._agent.table.get_copies())))
+        self.send(self._agent.directory.build_complete())
+        if self._agent.synchronized:
+            self.send_watermark(self._agent.watermark)
+
+    async def _send_queued(self) -> None:
+        while True:
+            message = await self._queue.get()
+            await self._connection.send(encode_message(message))
+
+    async def _receive(self) -> None:
+        async for frame in self._connection:
+            match decode_message(frame):
+                case AppliedWatermark(revision=revision):
+                    self.applied_revision = max(self.applied_revision, revision)
+                case message:
+                    raise ProtocolError(f"unexpected {type(message).__name__}")
+        raise ConnectionClosed(None, None)
--- /dev/null
+++ b/src/verbenacross/console/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines of the binaries."""
--- /dev/null
+++ b/src/verbenacross/console/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators' binary, one module a command."""
--- /dev/null
+++ b/src/verbenacross/limits/__init__.py
@@ -0,0 +1,5 @@
+"""Bounds on what an entry sends to upstreams and on what waits in the entry."""
+
+from .service_gate import ServiceGate
+
+__all__ = ["ServiceGate"]
--- /dev/null
+++ b/src/verbenacross/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Table of agents, their liveness and its bounded spread."""
--- /dev/null
+++ b/src/verbenacross/platform/key_value_store.py
@@ -0,0 +1,65 @@
+"""What the system needs of the platform's key-value store."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Protocol
+
+ABSENT_REVISION = 0
+MAX_VALUE_BYTES = 1_048_576
+
+
+class StoredValue(NamedTuple):
+    """A value with the revision of its last modification; ``None`` when deleted."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class StoreSnapshot(NamedTuple):
+    """Values under a prefix, complete up to a revision of the whole store."""
+
+    revision: int
+    values: tuple[StoredValue, ...]
+
+
+class KeyValueStore(Protocol):
+    """Key-value store with compare-and-swap, leases and watches.
+
+    Every method raises ``StoreUnavailableError`` when the store cannot be reached or
+    its answer is lost; a write may then have taken effect.
+    """
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Returns the value of a key, or ``None`` when it is absent."""
+
+    async def read_prefix(self, prefix: str) -> StoreSnapshot:
+        """Returns all values under a prefix."""
+
+    async def watch(self, prefix: str, revision: int, wait_ms: int) -> StoreSnapshot:
+        """Returns the changes under a prefix after a revision.
+
+        Waits up to ``wait_ms`` milliseconds for the first change. Raises ``StoreError``
+        when the store no longer has the changes after that revision.
+        """
+
+    async def put(
+        self, key: str, value: bytes, expected: int, lease: str | None = None
+    ) -> int:
+        """Writes a value if the key is at the expected revision (0: absent).
+
+        Returns the new revision. A key written with a lease is deleted when the lease
+        ends. Raises ``StoreConflictError`` when the key is at another revision.
+        """
+
+    async def delete(self, key: str, expected: int) -> int:
+        """Deletes a key if it is at the expected revision; returns the new revision."""
+
+    async def grant_lease(self, ttl_ms: int) -> str:
+        """Returns the id of a new lease that lives for ``ttl_ms`` milliseconds."""
+
+    async def renew_lease(self, lease: str) -> None:
+        """Restarts the lifetime of a lease; raises ``LeaseLostError`` if gone."""
+
+    async def revoke_lease(self, lease: str) -> None:
+        """Ends a lease and deletes the keys written with it."""
--- /dev/null
+++ b/src/verbenacross/platform/upstream_signals.py
@@ -0,0 +1,45 @@
+"""Signals that upstreams give in response headers and on their endpoints."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Literal, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+LOAD_HEADER = "endpoint-load-metrics"
+STATE_HEADER = "Upstream-State"
+EXECUTION_HEADER = "Execution-Status"
+LOAD_FORMAT = "TEXT "
+IN_FLIGHT_METRIC = "named_metrics.in_flight"
+
+UpstreamState = Literal["live", "draining", "cold"]
+
+
+class LoadReport(NamedTuple):
+    """Load that an upstream reported: requests in flight, queued ones included."""
+
+    in_flight: int
+
+
+def read_load(headers: Mapping[str, str]) -> LoadReport | None:
+    """Returns the load in response headers, ``None`` if absent or malformed."""
+    text = headers.get(LOAD_HEADER, "")
+    if not text.startswith(LOAD_FORMAT):
+        return None
+    for item in text[len(LOAD_FORMAT) :].split(","):
+        name, _, value = item.strip().partition("=")
+        if name == IN_FLIGHT_METRIC and value.isascii() and value.isdigit():
+            return LoadReport(int(value))
+    return None
+
+
+def read_state(headers: Mapping[str, str]) -> UpstreamState:
+    """Returns the state in a response's headers; ``live`` when absent or unknown."""
+    match headers.get(STATE_HEADER, ""):
+        case "draining":
+            return "draining"
+        case "cold":
+            return "cold"
+        case _:
+            return "live"
--- /dev/null
+++ b/src/verbenacross/policy/__init__.py
@@ -0,0 +1,9 @@
+"""Policy records: their layout, checks, merge and choice for a request."""
+
+from .exceptions import PolicyError
+from .parser import parse_policy
+from .policy import Policy
+from .policy_record import PolicyRecord
+from .policy_table import PolicyTable
+
+__all__ = ["Policy", "PolicyError", "PolicyRecord", "PolicyTable", "parse_policy"]
--- /dev/null
+++ b/src/verbenacross/policy/policy.py
@@ -0,0 +1,103 @@
+"""The parts of a policy record of schema version 1."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal, NamedTuple
+
+from pydantic import Field
+
+SERVICE_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+
+ServiceName = Annotated[str, Field(pattern=SERVICE_PATTERN)]
+Milliseconds = Annotated[int, Field(ge=1, le=86_400_000)]
+Share = Annotated[float, Field(gt=0, le=1)]
+Chooser = Literal[
+    "random",
+    "round_robin",
+    "least_in_flight",
+    "two_choices",
+    "two_choices_reported",
+    "report_pool",
+]
+
+
+class CallerMatch(NamedTuple):
+    """Callers that a policy version serves."""
+
+    names: tuple[str, ...] = ()
+    default: bool = True
+
+
+class UpstreamOptions(NamedTuple):
+    """What is known of each upstream of the service and how it is protected."""
+
+    slots: Annotated[int, Field(ge=1, le=10_000)] = 6
+    connections: Annotated[int, Field(ge=1, le=100_000)] = 220
+    connect_timeout_ms: Milliseconds = 500
+    cold_start_ms: Milliseconds = 10_000
+    max_ejected_share: Share = 0.3
+
+
+class RequestClass(NamedTuple):
+    """A class of requests; the first class that matches a request applies."""
+
+    name: str
+    path_prefix: str = "/"
+    methods: tuple[str, ...] = ()
+    size: Literal["short", "long"] = "short"
+    priority: Annotated[int, Field(ge=0, le=9)] = 5
+    idempotent: bool | None = None
+
+
+class RoutingOptions(NamedTuple):
+    """How an upstream is chosen."""
+
+    chooser: Chooser = "two_choices_reported"
+    prefer_near: bool = True
+
+
+class LimitOptions(NamedTuple):
+    """Bounds on waiting and on long work."""
+
+    queue_size: Annotated[int, Field(ge=0, le=100_000)] = 512
+    default_timeout_ms: Milliseconds = 10_000
+    max_timeout_ms: Milliseconds = 120_000
+    long_share: Share = 0.34
+    long_after_ms: Milliseconds = 1_000
+
+
+class RetryOptions(NamedTuple):
+    """When a request may be sent again."""
+
+    max_attempts: Annotated[int, Field(ge=1, le=5)] = 3
+    budget_ratio: Annotated[float, Field(ge=0, le=1)] = 0.1
+    hedge_after_ms: Milliseconds | None = None
+
+
+class MeasuringOptions(NamedTuple):
+    """Budget of probes for each upstream over all instances."""
+
+    probes_per_second: Annotated[float, Field(ge=0, le=100)] = 0.2
+
+
+class IdempotencyOptions(NamedTuple):
+    """How long the store remembers an ``Idempotency-Key``."""
+
+    retention_s: Annotated[int, Field(ge=1, le=604_800)] = 86_400
+
+
+class Policy(NamedTuple):
+    """A policy record of schema version 1."""
+
+    schema_version: Literal[1]
+    service: ServiceName
+    version: Annotated[int, Field(ge=1)]
+    state: Literal["active", "retired"] = "active"
+    callers: CallerMatch = CallerMatch()
+    upstreams: UpstreamOptions = UpstreamOptions()
+    classes: tuple[RequestClass, ...] = ()
+    routing: RoutingOptions = RoutingOptions()
+    limits: LimitOptions = LimitOptions()
+    retries: RetryOptions = RetryOptions()
+    measuring: MeasuringOptions = MeasuringOptions()
+    idempotency: IdempotencyOptions = IdempotencyOptions()
--- /dev/null
+++ b/src/verbenacross/policy/policy_selector.py
@@ -0,0 +1,105 @@
+"""Chooses the policy version that applies to a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from .policy_record import POLICY_PREFIX
+
+if TYPE_CHECKING:
+    from .policy import Policy
+    from .policy_table import PolicyTable
+
+
+class SelectedPolicy(NamedTuple):
+    """A policy in force with the store revision of its record."""
+
+    policy: Policy
+    revision: int
+
+
+class UnknownService(NamedTuple):
+    """No policy serves the service or the caller."""
+
+    service: str
+
+
+class UnknownVersion(NamedTuple):
+    """The caller asked for a version that was never in force."""
+
+    service: str
+    version: int
+
+
+class RetiredVersion(NamedTuple):
+    """The caller asked for a version that operators retired."""
+
+    service: str
+    version: int
+
+
+Selection = SelectedPolicy | UnknownService | UnknownVersion | RetiredVersion
+
+
+class PolicySelector:
+    """Index of the policies in force by service, highest version first."""
+
+    def __init__(self, table: PolicyTable) -> None:
+        self._table = table
+        self._by_service: dict[str, list[SelectedPolicy]] = {}
+        table.changes.subscribe(lambda record: self._rebuild(record.key))
+        for key in table.valid:
+            self._rebuild(key)
+
+    def select(self, service: str, caller: str, version: int | None) -> Selection:
+        """Returns the policy for a request, or why there is none.
+
+        ``version`` is the version that the caller asked for, if any.
+        """
+        candidates = self._by_service.get(service)
+        if not candidates:
+            return UnknownService(service)
+        if version is not None:
+            return select_version(candidates, service, version)
+        for candidate in candidates:
+            if is_active(candidate) and caller in candidate.policy.callers.names:
+                return candidate
+        for candidate in candidates:
+            if is_active(candidate) and candidate.policy.callers.default:
+                return candidate
+        return UnknownService(service)
+
+    def get_services(self) -> list[str]:
+        """Returns the services that have an active policy."""
+        return [
+            service
+            for service, candidates in self._by_service.items()
+            if any(is_active(candidate) for candidate in candidates)
+        ]
+
+    def _rebuild(self, key: str) -> None:
+        service = key.removeprefix(POLICY_PREFIX).partition("/")[0]
+        prefix = f"{POLICY_PREFIX}{service}/"
+        selected = [
+            SelectedPolicy(policy, self._table.valid[other].revision)
+            for other, policy in self._table.policies.items()
+            if other.startswith(prefix)
+        ]
+        selected.sort(key=lambda entry: entry.policy.version, reverse=True)
+        self._by_service[service] = selected
+
+
+def is_active(selected: SelectedPolicy) -> bool:
+    """Returns whether the policy has not been retired."""
+    return selected.policy.state == "active"
+
+
+def select_version(
+    candidates: list[SelectedPolicy], service: str, version: int
+) -> Selection:
+    """Returns the candidate with exactly this version, or why there is none."""
+    for candidate in candidates:
+        if candidate.policy.version != version:
+            continue
+        return candidate if is_active(candidate) else RetiredVersion(service, version)
+    return UnknownVersion(service, version)
--- /dev/null
+++ b/src/verbenacross/protocol/messages.py
@@ -0,0 +1,193 @@
+"""Messages between agents and between an agent and its entries.
+
+Times are milliseconds. Ages, not clock times, travel between instances.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal, NamedTuple
+
+from pydantic import Field
+
+from ..platform.instance_list import Instance
+from ..policy.policy_record import PolicyRecord
+
+PROTOCOL_VERSION = 1
+MAX_IDENTIFIER_CHARACTERS = 256
+
+Identifier = Annotated[str, Field(min_length=1, max_length=MAX_IDENTIFIER_CHARACTERS)]
+Revision = Annotated[int, Field(ge=0)]
+MemberState = Literal["alive", "suspect", "dead", "leaving"]
+ObservationKind = Literal["draining", "ejected", "cold", "load"]
+
+
+class Challenge(NamedTuple):
+    """First message of the accepting side of a peer link."""
+
+    nonce: bytes
+
+
+class Hello(NamedTuple):
+    """First message of the connecting side, and the answer of the accepting side.
+
+    ``proof`` is the HMAC-SHA256 of the other side's nonce and the sender's instance.
+    """
+
+    protocol_version: int
+    instance: Identifier
+    incarnation: int
+    address: Identifier
+    failure_domain: Identifier
+    nonce: bytes
+    proof: bytes
+
+
+class Heartbeat(NamedTuple):
+    """Shows that the sender is alive."""
+
+    sequence: Annotated[int, Field(ge=0)]
+
+
+class RecordCopies(NamedTuple):
+    """Copies of policy records."""
+
+    records: tuple[PolicyRecord, ...]
+
+
+class TableDigest(NamedTuple):
+    """Digest of the sender's whole policy table."""
+
+    digest: bytes
+
+
+class BucketDigests(NamedTuple):
+    """Digests of each bucket of the sender's policy table."""
+
+    digests: tuple[bytes, ...]
+
+
+class BucketRequest(NamedTuple):
+    """Asks for all records of some buckets."""
+
+    buckets: tuple[Annotated[int, Field(ge=0)], ...]
+
+
+class Watermark(NamedTuple):
+    """The receiver of all earlier messages is complete up to this store revision."""
+
+    revision: Revision
+
+
+class MemberUpdate(NamedTuple):
+    """What the sender knows of a member."""
+
+    instance: Identifier
+    incarnation: int
+    address: Identifier
+    failure_domain: Identifier
+    state: MemberState
+    in_force: Revision
+
+
+class MemberUpdates(NamedTuple):
+    """Changes and refreshes of members."""
+
+    updates: tuple[MemberUpdate, ...]
+
+
+class DirectoryUpdates(NamedTuple):
+    """Instances of the platform's list that changed, and ids that went from it.
+
+    ``version`` counts the changes that the origin's reader has seen.
+    """
+
+    version: Annotated[int, Field(ge=0)]
+    complete: bool
+    changed: tuple[Instance, ...]
+    removed: tuple[str, ...]
+
+
+class Observation(NamedTuple):
+    """What an instance saw of an upstream ``age_ms`` ago, valid for ``lifetime_ms``.
+
+    ``value`` is the number of requests in flight for ``load``, otherwise 0.
+    """
+
+    upstream: Identifier
+    origin: Identifier
+    kind: ObservationKind
+    age_ms: Annotated[int, Field(ge=0)]
+    lifetime_ms: Annotated[int, Field(ge=0, le=60_000)]
+    value: int = 0
+
+
+class Observations(NamedTuple):
+    """Observations of upstreams."""
+
+    observations: tuple[Observation, ...]
+
+
+class EntryHello(NamedTuple):
+    """First message of an entry to the agent of its instance."""
+
+    protocol_version: int
+    entry: Identifier
+
+
+class AppliedWatermark(NamedTuple):
+    """The entry has all policies up to this store revision in force."""
+
+    revision: Revision
+
+
+class PermitRequest(NamedTuple):
+    """Asks for a slot for long work on an upstream of a service."""
+
+    permit: Identifier
+    service: Identifier
+    wait_ms: Annotated[int, Field(ge=0)]
+    excluded: tuple[Identifier, ...] = ()
+
+
+class PermitGrant(NamedTuple):
+    """Gives a slot of an upstream for long work; empty ``upstream`` means refused."""
+
+    permit: Identifier
+    upstream: str
+    lifetime_ms: Annotated[int, Field(ge=0)]
+
+
+class PermitRelease(NamedTuple):
+    """Returns a slot for long work."""
+
+    permit: Identifier
+    service: Identifier
+
+
+class PermitReport(NamedTuple):
+    """Renews a permit, or reports a request that turned out long."""
+
+    permit: Identifier
+    service: Identifier
+    upstream: Identifier
+
+
+Message = (
+    Challenge
+    | Hello
+    | Heartbeat
+    | RecordCopies
+    | TableDigest
+    | BucketDigests
+    | BucketRequest
+    | Watermark
+    | MemberUpdates
+    | DirectoryUpdates
+    | Observations
+    | EntryHello
+    | AppliedWatermark
+    | PermitRequest
+    | PermitGrant
+    | PermitRelease
+    | PermitReport
+)
--- /dev/null
+++ b/src/verbenacross/refusals/__init__.py
@@ -0,0 +1,6 @@
+"""Refusals that tell a caller whether the work ran."""
+
+from .exceptions import RefusedError
+from .refusal import Execution, Refusal, refuse_not_run
+
+__all__ = ["Execution", "Refusal", "RefusedError", "refuse_not_run"]
--- /dev/null
+++ b/src/verbenacross/refusals/refusal.py
@@ -0,0 +1,58 @@
+"""Refusals as RFC 9457 problem details that say whether the work ran."""
+
+from __future__ import annotations
+
+import json
+from enum import Enum
+from typing import NamedTuple
+
+from aiohttp import web
+
+from ..platform.upstream_signals import EXECUTION_HEADER
+from .exceptions import RefusedError
+
+PROBLEM_TYPE_PREFIX = "urn:verbenacross:problem:"
+
+
+class Execution(Enum):
+    """Whether the work of a request ran."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class Refusal(NamedTuple):
+    """Why a request got no answer from an upstream."""
+
+    status: int
+    problem: str
+    title: str
+    execution: Execution
+    detail: str = ""
+    retry_after_s: int | None = None
+
+    def build_response(self, request_id: str) -> web.Response:
+        """Returns the response to the caller."""
+        body = {
+            "type": PROBLEM_TYPE_PREFIX + self.problem,
+            "title": self.title,
+            "status": self.status,
+            "detail": self.detail,
+            "execution": self.execution.value,
+            "request_id": request_id,
+        }
+        headers = {EXECUTION_HEADER: self.execution.value.replace("_", "-")}
+        if self.retry_after_s is not None:
+            headers["Retry-After"] = str(self.retry_after_s)
+        return web.Response(
+            status=self.status,
+            body=json.dumps(body).encode(),
+            content_type="application/problem+json",
+            headers=headers,
+        )
+
+
+def refuse_not_run(status: int, problem: str, title: str) -> RefusedError:
+    """Returns the error for a request that is refused before anything was sent."""
+    return RefusedError(Refusal(status, problem, title, Execution.NOT_RUN))
--- /dev/null
+++ b/src/verbenacross/routing/request_context.py
@@ -0,0 +1,31 @@
+"""What decisions need to know of a request."""
+
+from __future__ import annotations
+
+import time
+from typing import NamedTuple
+
+from ..policy.policy import Policy, RequestClass
+
+MS_PER_S = 1_000
+
+
+class RequestContext(NamedTuple):
+    """What decisions need to know of a request.
+
+    ``deadline`` is on the monotonic clock, in seconds. ``attempt`` is the value of the
+    caller's ``Request-Attempt`` header: above 1, another layer already retries.
+    """
+
+    request_id: str
+    service: str
+    policy: Policy
+    revision: int
+    request_class: RequestClass
+    idempotent: bool
+    deadline: float
+    attempt: int = 1
+
+    def get_remaining_ms(self) -> float:
+        """Returns the milliseconds until the deadline, negative after it."""
+        return (self.deadline - time.monotonic()) * MS_PER_S
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,232 @@
+"""Stand-in for an upstream: slots, a queue, load reports and faults.
+
+A request works for ``X-Work-Ms`` milliseconds (default 5) on one of the slots and
+answers ``X-Answer-Bytes`` bytes (default 200). Every request that starts to work enters
+the ledger, which ``GET /control/ledger`` serves. ``POST /control`` sets behaviour:
+``slowdown`` (factor), ``fail_fast`` (share of requests that fail at once),
+``draining``, ``shed_above`` (queued requests), ``cold_ms`` (time in which work takes
+three times as long), ``report_in_flight`` (number reported instead of the truth),
+``crossed`` (echo a wrong request id), ``cut_body`` (send half the body and close),
+``close_delimited`` (no length, no chunks).
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import time
+from typing import Any
+
+from aiohttp import web
+
+DEFAULT_WORK_MS = 5.0
+DEFAULT_ANSWER_BYTES = 200
+COLD_FACTOR = 3.0
+MS_PER_S = 1_000
+
+
+class UpstreamStandIn:
+    """One server with slots and a queue in order of arrival."""
+
+    def __init__(self, name: str, slots: int, seed: int) -> None:
+        self.name = name
+        self.slots = slots
+        self.semaphore = asyncio.Semaphore(slots)
+        self.in_flight = 0
+        self.started = time.monotonic()
+        self.generator = random.Random(seed)
+        self.ledger: list[dict[str, Any]] = []
+        self.probes = 0
+        self.probe_times: list[float] = []
+        self.refused_draining = 0
+        self.behaviour: dict[str, Any] = {
+            "slowdown": 1.0,
+            "fail_fast": 0.0,
+            "draining": False,
+            "shed_above": None,
+            "cold_ms": 0,
+            "report_in_flight": None,
+            "crossed": False,
+            "cut_body": False,
+            "close_delimited": False,
+        }
+
+    def build_application(self) -> web.Application:
+        """Returns the HTTP application."""
+        application = web.Application(client_max_size=1 << 30)
+        application.add_routes(
+            [
+                web.get("/health", self.serve_health),
+                web.get("/load", self.serve_load),
+                web.post("/control", self.set_behaviour),
+                web.get("/control/ledger", self.serve_ledger),
+                web.route("*", "/{path:.*}", self.serve_work),
+            ]
+        )
+        return application
+
+    async def serve_health(self, request: web.Request) -> web.Response:
+        """Serves the state."""
+        self.count_probe()
+        return web.json_response({"state": self.get_state()})
+
+    async def serve_load(self, request: web.Request) -> web.Response:
+        """Serves the load."""
+        self.count_probe()
+        body = {"in_flight": self.report_in_flight(), "slots": self.slots}
+        return web.json_response(body, headers=self.build_headers())
+
+    def count_probe(self) -> None:
+        """Counts a probe."""
+        self.probes += 1
+        self.probe_times.append(time.time())
+
+    async def set_behaviour(self, request: web.Request) -> web.Response:
+        """Sets behaviour."""
+        changes = await request.json()
+        self.behaviour.update(changes)
+        if "cold_ms" in changes:
+            self.started = time.monotonic()
+        return web.json_response(self.behaviour)
+
+    async def serve_ledger(self, request: web.Request) -> web.Response:
+        """Serves what ran."""
+        body = {
+            "ran": self.ledger,
+            "probes": self.probes,
+            "probe_times": self.probe_times,
+            "refused_draining": self.refused_draining,
+        }
+        return web.json_response(body)
+
+    async def serve_work(self, request: web.Request) -> web.StreamResponse:
+        """Works on a request."""
+        request_id = request.headers.get("X-Request-Id", "")
+        if self.generator.random() < self.behaviour["fail_fast"]:
+            entry = self.note_start(request, request_id)
+            entry["failed"] = True
+            return web.Response(status=500, headers=self.build_headers(request_id))
+        shed_above = self.behaviour["shed_above"]
+        if shed_above is not None and self.in_flight >= self.slots + shed_above:
+            return self.refuse(request_id)
+        self.in_flight += 1
+        try:
+            async with self.semaphore:
+                return await self.work(request, request_id)
+        finally:
+            self.in_flight -= 1
+
+    def refuse(self, request_id: str) -> web.Response:
+        """Sheds a request that did not run."""
+        headers = self.build_headers(request_id) | {"Execution-Status": "not-run"}
+        return web.Response(status=503, headers=headers)
+
+    def note_start(self, request: web.Request, request_id: str) -> dict[str, Any]:
+        """Adds a request to the ledger."""
+        entry = {
+            "id": request_id,
+            "method": request.method,
+            "path": request.path_qs,
+            "work": request.headers.get("X-Work-Id", ""),
+            "attempt": request.headers.get("Request-Attempt", ""),
+            "timeout_ms": request.headers.get("Request-Timeout-Ms", ""),
+            "started": time.time(),
+            "finished": None,
+        }
+        self.ledger.append(entry)
+        return entry
+
+    async def work(self, request: web.Request, request_id: str) -> web.StreamResponse:
+        """Runs the work of a request and answers it."""
+        entry = self.note_start(request, request_id)
+        received = 0
+        async for chunk in request.content.iter_any():
+            received += len(chunk)
+        work_ms = float(request.headers.get("X-Work-Ms", DEFAULT_WORK_MS))
+        await asyncio.sleep(work_ms * self.get_slowdown() / MS_PER_S)
+        entry["finished"] = time.time()
+        entry["received_bytes"] = received
+        size = int(request.headers.get("X-Answer-Bytes", DEFAULT_ANSWER_BYTES))
+        return await self.answer(request, request_id, size)
+
+    async def answer(
+        self, request: web.Request, request_id: str, size: int
+    ) -> web.StreamResponse:
+        """Sends the answer, with the faults that are set."""
+        mark = request.headers.get("X-Work-Id", "").encode()
+        body = (mark + b"." * size)[: max(size, len(mark))]
+        headers = self.build_headers(request_id)
+        if self.behaviour["close_delimited"] or self.behaviour["cut_body"]:
+            return await self.answer_raw(request, headers, body)
+        return web.Response(body=body, headers=headers)
+
+    async def answer_raw(
+        self, request: web.Request, headers: dict[str, str], body: bytes
+    ) -> web.StreamResponse:
+        """Sends a faulty answer past the HTTP library."""
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        if self.behaviour["cut_body"]:
+            lines.append(f"Content-Length: {len(body)}")
+            body = body[: len(body) // 2]
+        lines.append("Connection: close")
+        head = "HTTP/1.1 200 OK\r\n" + "\r\n".join(lines) + "\r\n\r\n"
+        transport = request.transport
+        assert transport is not None
+        transport.write(head.encode() + body)
+        transport.close()
+        return web.Response()
+
+    def get_slowdown(self) -> float:
+        """Returns the factor on work times."""
+        age_ms = (time.monotonic() - self.started) * MS_PER_S
+        cold = COLD_FACTOR if age_ms < self.behaviour["cold_ms"] else 1.0
+        return float(self.behaviour["slowdown"]) * cold
+
+    def get_state(self) -> str:
+        """Returns the state that the upstream announces."""
+        return "draining" if self.behaviour["draining"] else "live"
+
+    def report_in_flight(self) -> int:
+        """Returns the load that the upstream claims."""
+        claimed = self.behaviour["report_in_flight"]
+        return self.in_flight if claimed is None else int(claimed)
+
+    def build_headers(self, request_id: str = "") -> dict[str, str]:
+        """Returns the signals of the upstream."""
+        load = f"TEXT named_metrics.in_flight={self.report_in_flight()}"
+        headers = {"endpoint-load-metrics": load, "X-Upstream": self.name}
+        if self.get_state() != "live":
+            headers["Upstream-State"] = self.get_state()
+        if request_id:
+            crossed = self.behaviour["crossed"]
+            headers["X-Request-Id"] = "crossed-" + request_id if crossed else request_id
+        return headers
+
+
+def main() -> None:
+    """Runs the stand-in."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--slots", type=int, default=6)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+
+    async def build() -> web.Application:
+        standin = UpstreamStandIn(arguments.name, arguments.slots, arguments.seed)
+        return standin.build_application()
+
+    web.run_app(
+        build(),
+        host=arguments.host,
+        port=arguments.port,
+        print=None,
+        access_log=None,
+        handler_cancellation=True,
+    )
+
+
+if __name__ == "__main__":
+    main()
