--- a/src/verbenacross/entry/forwarder.py
+++ b/src/verbenacross/entry/forwarder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from typing import TYPE_CHECKING
 
@@ -87,7 +86,7 @@
         except aiohttp.ClientConnectorError as error:
             title = f"The upstream cannot be reached: {error}"
             raise refuse_not_run(503, "upstream-unreachable", title) from error
-        except asyncio.TimeoutError as error:
+        except TimeoutError as error:
             raise RefusedError(DEADLINE_EXCEEDED) from error
         except aiohttp.ClientError as error:
             raise RefusedError(UPSTREAM_FAILED._replace(detail=repr(error))) from error
