Keep retirements and deletions through every order of merging

Cause: a copy with a higher revision brought a retired version back, a deleted record returned with a peer that missed the deletion, equal revisions with other bodies (after the store lost writes) depended on the order of arrival, and two tables could only be compared record by record. Change: a retired copy outranks active ones; a table that is complete up to R treats an unknown key with a revision of at most R as deleted; ties are ordered by the body; digests per bucket are kept up to date with each change; the selector rebuilds only the service that changed.

--- a/src/verbenacross/policy/__init__.py
+++ b/src/verbenacross/policy/__init__.py
@@ -5,5 +5,13 @@
 from .policy import Policy
 from .policy_record import PolicyRecord
 from .policy_table import PolicyTable
+from .table_progress import TableProgress
 
-__all__ = ["Policy", "PolicyError", "PolicyRecord", "PolicyTable", "parse_policy"]
+__all__ = [
+    "Policy",
+    "PolicyError",
+    "PolicyRecord",
+    "PolicyTable",
+    "TableProgress",
+    "parse_policy",
+]
--- a/src/verbenacross/policy/policy_record.py
+++ b/src/verbenacross/policy/policy_record.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
 POLICY_PREFIX = "policies/"
+KEY_PATTERN = re.compile(r"policies/([a-z0-9][a-z0-9-]{0,62})/([1-9][0-9]{0,17})")
 
 
 class PolicyRecord(NamedTuple):
@@ -22,3 +24,16 @@
 def build_key(service: str, version: int) -> str:
     """Returns the store key of a policy version."""
     return f"{POLICY_PREFIX}{service}/{version}"
+
+
+def is_key(key: str) -> bool:
+    """Returns whether a store key is the key of a policy version."""
+    return KEY_PATTERN.fullmatch(key) is not None
+
+
+def split_key(key: str) -> tuple[str, int]:
+    """Returns service and version of a key; raises ``ValueError`` if it is none."""
+    match = KEY_PATTERN.fullmatch(key)
+    if match is None:
+        raise ValueError(f"{key!r} is not the key of a policy version")
+    return match[1], int(match[2])
--- a/src/verbenacross/policy/policy_selector.py
+++ b/src/verbenacross/policy/policy_selector.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from .policy_record import POLICY_PREFIX
+from .policy_record import split_key
 
 if TYPE_CHECKING:
     from .policy import Policy
@@ -47,6 +47,7 @@
     def __init__(self, table: PolicyTable) -> None:
         self._table = table
         self._by_service: dict[str, list[SelectedPolicy]] = {}
+        self._keys: dict[str, set[str]] = {}
         table.changes.subscribe(lambda record: self._rebuild(record.key))
         for key in table.valid:
             self._rebuild(key)
@@ -78,12 +79,16 @@
         ]
 
     def _rebuild(self, key: str) -> None:
-        service = key.removeprefix(POLICY_PREFIX).partition("/")[0]
-        prefix = f"{POLICY_PREFIX}{service}/"
+        if key not in self._table.valid:
+            return
+        service, _ = split_key(key)
+        keys = self._keys.setdefault(service, set())
+        keys.add(key)
         selected = [
-            SelectedPolicy(policy, self._table.valid[other].revision)
-            for other, policy in self._table.policies.items()
-            if other.startswith(prefix)
+            SelectedPolicy(
+                self._table.policies[other], self._table.valid[other].revision
+            )
+            for other in keys
         ]
         selected.sort(key=lambda entry: entry.policy.version, reverse=True)
         self._by_service[service] = selected
--- a/src/verbenacross/policy/policy_table.py
+++ b/src/verbenacross/policy/policy_table.py
@@ -2,28 +2,39 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from reactivex.subject import Subject
 
+from ..settings import Finding
+from .copy_digests import CopyDigests
 from .exceptions import PolicyError
 from .parser import parse_record_body
+from .policy import Policy
+from .policy_record import is_key, split_key
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from ..settings import Finding
-    from .policy import Policy
     from .policy_record import PolicyRecord
 
 
+class Rank(NamedTuple):
+    """Order of valid copies: a retired record outranks every active one."""
+
+    is_retired: bool
+    revision: int
+    body: bytes
+
+
 class PolicyTable:
-    """The latest copy and the latest valid copy of each policy record.
+    """The latest copy and the copy in force of each policy record.
 
-    Both are the copies with the highest revision, so the merge is commutative,
-    associative and idempotent: late, duplicated and reordered copies have no effect.
-    The latest valid copy is in force; a later invalid one is only reported. ``changes``
-    emits each copy that was taken.
+    The latest copy is the one with the highest revision. The copy in force (``valid``)
+    is the latest valid one, except that a record that was once ``retired`` stays so.
+    Copies of one revision are ordered by their bodies, which differ only after the
+    store lost writes. The merge is commutative, associative and idempotent: late,
+    duplicated and reordered copies have no effect. ``changes`` emits each copy taken.
     """
 
     def __init__(self) -> None:
@@ -31,14 +42,24 @@
         self.valid: dict[str, PolicyRecord] = {}
         self.policies: dict[str, Policy] = {}
         self.findings: dict[str, tuple[Finding, ...]] = {}
+        self.digests = CopyDigests()
+        self.highest_revision = 0
         self.changes: Subject[PolicyRecord] = Subject()
+        self._ranks: dict[str, Rank] = {}
 
     def put(self, record: PolicyRecord) -> bool:
-        """Takes a copy that is newer than the latest or the latest valid copy."""
-        taken_latest = self._put_latest(record)
-        taken_valid = self._put_valid(record)
+        """Takes a copy that is newer than the latest one or the one in force."""
+        if not is_key(record.key) or self.latest.get(record.key) == record:
+            return False
+        before = tuple(self.get_copies_of(record.key))
+        parsed = parse_copy(record)
+        taken_latest = self._put_latest(record, parsed)
+        taken_valid = self._put_valid(record, parsed)
         if not taken_latest and not taken_valid:
             return False
+        self._note_unretired(record.key)
+        self.digests.replace(before, self.get_copies_of(record.key))
+        self.highest_revision = max(self.highest_revision, record.revision)
         self.changes.on_next(record)
         return True
 
@@ -48,36 +69,71 @@
 
     def get_copies(self) -> Iterator[PolicyRecord]:
         """Yields every copy that another table needs to reach the same state."""
-        yield from self.valid.values()
-        for key, record in self.latest.items():
-            if self.valid.get(key) != record:
-                yield record
-
-    def _put_latest(self, record: PolicyRecord) -> bool:
+        for key in self.latest:
+            yield from self.get_copies_of(key)
+
+    def get_copies_of(self, key: str) -> Iterator[PolicyRecord]:
+        """Yields the copies of one record, the one in force first."""
+        valid = self.valid.get(key)
+        if valid is not None:
+            yield valid
+        latest = self.latest.get(key)
+        if latest is not None and latest != valid:
+            yield latest
+
+    def get_findings(self) -> list[Finding]:
+        """Returns the findings of all records."""
+        return [finding for found in self.findings.values() for finding in found]
+
+    def _put_latest(
+        self, record: PolicyRecord, parsed: Policy | tuple[Finding, ...]
+    ) -> bool:
         known = self.latest.get(record.key)
-        if known is not None and known.revision >= record.revision:
+        if known is not None and known[1:] >= record[1:]:
             return False
         self.latest[record.key] = record
         self.findings.pop(record.key, None)
+        if not isinstance(parsed, Policy):
+            self.findings[record.key] = parsed
         return True
 
-    def _put_valid(self, record: PolicyRecord) -> bool:
-        known = self.valid.get(record.key)
-        if known is not None and known.revision >= record.revision:
+    def _put_valid(
+        self, record: PolicyRecord, parsed: Policy | tuple[Finding, ...]
+    ) -> bool:
+        if not isinstance(parsed, Policy):
             return False
-        if record.body:
-            try:
-                self.policies[record.key] = parse_record_body(record.body, record.key)
-            except PolicyError as error:
-                if self.latest[record.key] == record:
-                    self.findings[record.key] = error.findings
-                return False
-        else:
-            self._retire(record.key)
+        is_retired = parsed.state == "retired" and bool(record.body)
+        rank = Rank(is_retired, record.revision, record.body)
+        known = self._ranks.get(record.key)
+        if known is not None and known >= rank:
+            return False
+        self._ranks[record.key] = rank
         self.valid[record.key] = record
+        self.policies[record.key] = parsed
         return True
 
-    def _retire(self, key: str) -> None:
-        policy = self.policies.get(key)
-        if policy is not None:
-            self.policies[key] = policy._replace(state="retired")
+    def _note_unretired(self, key: str) -> None:
+        rank = self._ranks.get(key)
+        latest = self.latest[key]
+        if rank is None or not rank.is_retired or not latest.body:
+            return
+        if latest.revision <= rank.revision or key in self.findings:
+            return
+        if parse_record_body(latest.body, key).state == "retired":
+            return
+        message = f"retired at revision {rank.revision}, use a new version number"
+        self.findings[key] = (Finding(key, "$.state", message),)
+
+
+def parse_copy(record: PolicyRecord) -> Policy | tuple[Finding, ...]:
+    """Returns the policy in a copy, or the findings of an invalid one.
+
+    A deleted record counts as retired.
+    """
+    if not record.body:
+        service, version = split_key(record.key)
+        return Policy(1, service, version, state="retired")
+    try:
+        return parse_record_body(record.body, record.key)
+    except PolicyError as error:
+        return error.findings
--- /dev/null
+++ b/src/verbenacross/policy/table_progress.py
@@ -0,0 +1,48 @@
+"""How far a policy table is complete."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from reactivex.subject import Subject
+
+from .policy_record import PolicyRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from .policy_table import PolicyTable
+
+
+class TableProgress:
+    """The store revision that a policy table is complete up to.
+
+    A table that is complete up to R holds every record whose last change has a revision
+    of at most R. ``changes`` emits each higher watermark. The watermark never falls.
+    """
+
+    def __init__(self, table: PolicyTable) -> None:
+        self.table = table
+        self.synchronized = False
+        self.watermark = 0
+        self.changes: Subject[int] = Subject()
+
+    def raise_to(self, revision: int) -> None:
+        """Notes that the table is complete up to a store revision."""
+        if self.synchronized and revision <= self.watermark:
+            return
+        self.synchronized = True
+        self.watermark = max(self.watermark, revision)
+        self.changes.on_next(self.watermark)
+
+    def take(self, records: Iterable[PolicyRecord]) -> int:
+        """Takes copies from a peer or an entry; returns how many were new."""
+        return self.table.put_all(self._replace_deleted(record) for record in records)
+
+    def _replace_deleted(self, record: PolicyRecord) -> PolicyRecord:
+        # A complete table without the key shows that the record was deleted. The
+        # sender was away during the deletion, and its copy must not come back.
+        is_unknown = record.key not in self.table.latest
+        if is_unknown and self.synchronized and record.revision <= self.watermark:
+            return PolicyRecord(record.key, self.watermark, b"")
+        return record
