Rebuild the finding of a revived record on each change

Cause: the state machine found tables with equal copies and different findings when an older retired copy arrived after the active one. Change: the finding is built again with each copy that is taken.

--- a/src/verbenacross/policy/policy_table.py
+++ b/src/verbenacross/policy/policy_table.py
@@ -115,14 +115,12 @@
     def _note_unretired(self, key: str) -> None:
         rank = self._ranks.get(key)
         latest = self.latest[key]
-        if rank is None or not rank.is_retired or not latest.body:
+        if rank is None or not rank.is_retired or latest.revision <= rank.revision:
             return
-        if latest.revision <= rank.revision or key in self.findings:
-            return
-        if parse_record_body(latest.body, key).state == "retired":
-            return
-        message = f"retired at revision {rank.revision}, use a new version number"
-        self.findings[key] = (Finding(key, "$.state", message),)
+        parsed = parse_copy(latest)
+        if isinstance(parsed, Policy) and parsed.state == "active":
+            message = f"retired at revision {rank.revision}, use a new version number"
+            self.findings[key] = (Finding(key, "$.state", message),)
 
 
 def parse_copy(record: PolicyRecord) -> Policy | tuple[Finding, ...]:
--- a/tests/policy/test_policy_merge.py
+++ b/tests/policy/test_policy_merge.py
@@ -100,3 +100,11 @@
     table.put_all([build_record(6, "retired"), build_record(8)])
     assert not isinstance(selector.select("cuepublish", "", None), SelectedPolicy)
     assert "retired at revision 6" in str(table.get_findings()[0])
+
+
+def test_finding_of_a_revived_record_names_the_last_retirement():
+    """Guards against findings that depend on the order in which copies arrive."""
+    table = PolicyTable()
+    table.put_all([build_record(3, "retired"), build_record(9)])
+    table.put(build_record(5, "retired"))
+    assert "retired at revision 5" in str(table.get_findings()[0])
