--- a/src/verbenacross/protocol/__init__.py
+++ b/src/verbenacross/protocol/__init__.py
@@ -1,6 +1,6 @@
 """Inner protocol between the system's own processes: messages and their codec."""
 
-from .codec import decode_message, encode_message
+from .codec import decode_message, encode_compressed, encode_message
 from .exceptions import ProtocolError
 
-__all__ = ["ProtocolError", "decode_message", "encode_message"]
+__all__ = ["ProtocolError", "decode_message", "encode_compressed", "encode_message"]
--- a/src/verbenacross/protocol/codec.py
+++ b/src/verbenacross/protocol/codec.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import Any, get_args
 
 import cbor2
 from pydantic import TypeAdapter, ValidationError
 
 from .exceptions import ProtocolError
-from .messages import Message
+from .messages import Compressed, Message
 
 MAX_MESSAGE_BYTES = 2_097_152
+MIN_COMPRESSED_BYTES = 256
+COMPRESSION_LEVEL = 1
 
 ADAPTERS: dict[str, TypeAdapter[Message]] = {
     kind.__name__: TypeAdapter(kind) for kind in get_args(Message)
@@ -28,8 +31,45 @@
     return encoded
 
 
+def encode_compressed(message: Message) -> bytes:
+    """Returns the CBOR form of a message, compressed when that is worth the work.
+
+    Raises ``ProtocolError`` when the message is too large before its compression.
+    """
+    encoded = encode_message(message)
+    if len(encoded) < MIN_COMPRESSED_BYTES:
+        return encoded
+    return encode_message(Compressed(zlib.compress(encoded, COMPRESSION_LEVEL)))
+
+
 def decode_message(data: bytes | str) -> Message:
-    """Returns the message in a frame. Raises ``ProtocolError`` when it is malformed."""
+    """Returns the message in a frame; decompresses it if needed.
+
+    Raises ``ProtocolError`` when it is malformed.
+    """
+    message = decode_plain(data)
+    if not isinstance(message, Compressed):
+        return message
+    inner = decode_plain(decompress(message.data))
+    if isinstance(inner, Compressed):
+        raise ProtocolError("a compressed message holds another one")
+    return inner
+
+
+def decompress(data: bytes) -> bytes:
+    """Returns the content of a zlib stream; raises ``ProtocolError`` if unusable."""
+    decompressor = zlib.decompressobj()
+    try:
+        content = decompressor.decompress(data, MAX_MESSAGE_BYTES)
+    except zlib.error as error:
+        raise ProtocolError(f"the compressed data is damaged: {error}") from error
+    if not decompressor.eof or decompressor.unused_data:
+        raise ProtocolError("the compressed data is incomplete or above the limit")
+    return content
+
+
+def decode_plain(data: bytes | str) -> Message:
+    """Returns the message in a frame as it is."""
     if isinstance(data, str):
         raise ProtocolError("the frame is text, expected binary")
     if len(data) > MAX_MESSAGE_BYTES:
--- a/src/verbenacross/protocol/messages.py
+++ b/src/verbenacross/protocol/messages.py
@@ -78,6 +78,17 @@
     revision: Revision
 
 
+class SyncComplete(NamedTuple):
+    """The sender has sent every copy that it had and the receiver lacked.
+
+    Later copies follow on the same link. ``revision`` is the sender's watermark;
+    ``synchronized`` is false when the sender itself is not complete yet.
+    """
+
+    synchronized: bool
+    revision: Revision
+
+
 class MemberUpdate(NamedTuple):
     """What the sender knows of a member."""
 
@@ -95,6 +106,18 @@
     updates: tuple[MemberUpdate, ...]
 
 
+class MemberDigest(NamedTuple):
+    """Digest of the sender's member table."""
+
+    digest: bytes
+
+
+class Compressed(NamedTuple):
+    """Another message in its encoded form, compressed with zlib."""
+
+    data: bytes
+
+
 class DirectoryUpdates(NamedTuple):
     """Instances of the platform's list that changed, and ids that went from it.
 
@@ -181,7 +204,10 @@
     | BucketDigests
     | BucketRequest
     | Watermark
+    | SyncComplete
     | MemberUpdates
+    | MemberDigest
+    | Compressed
     | DirectoryUpdates
     | Observations
     | EntryHello
