Link agents and spread policy records between them

Cause: agents had no connection to each other; every agent read the store. Change: AgentNetwork implements PeerNetwork over websockets with CBOR: mutual proof of the shared key, heartbeats, replacement of silent links, an overlay of ring and rendezvous links, direct links, search for peers through list and seeds while there is none and now and then after. New copies go out at once; tables are compared by digest when a link opens and every 5 s; only the link on which a table was completed passes on a watermark. Queues are bounded; a table of any size is sent as fast as the peer takes it. Large messages go in fragments, each a sign of life. Result: 18 tests over real loopback connections in one process pass. They fail without the proof, the paced transfer, the condition on watermarks, the rule for deleted records, the correction to their sender, the checks of revisions and addresses, the bound of the queue, the recovery from a pause, direct links and the bound of decompression (each mutated, run, restored).

--- a/src/verbenacross/peers/__init__.py
+++ b/src/verbenacross/peers/__init__.py
@@ -1,5 +1,7 @@
 """Overlay between agents: links, broadcast and direct messages."""
 
+from .agent_network import AgentNetwork
+from .exceptions import PeerUnreachableError
 from .peer_network import PeerMessage, PeerNetwork
 
-__all__ = ["PeerMessage", "PeerNetwork"]
+__all__ = ["AgentNetwork", "PeerMessage", "PeerNetwork", "PeerUnreachableError"]
