Report all findings of settings and policies together

Cause: settings and policy records were read with lenient checks. Duplicate JSON names, NaN, arrays in place of objects, numbers as text, oversized files, clashing listen addresses and unknown log levels passed, and a faulty field hid faults that concern several fields.

Change: one strict reader of JSON documents serves settings and policies.

--- a/src/verbenacross/policy/policy.py
+++ b/src/verbenacross/policy/policy.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal, NamedTuple
+from typing import TYPE_CHECKING, Annotated, Any, Literal, NamedTuple
 
 from pydantic import Field
 
+from ..settings.typed_document import Conflict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
 SERVICE_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
 
 ServiceName = Annotated[str, Field(pattern=SERVICE_PATTERN)]
@@ -101,3 +106,18 @@
     retries: RetryOptions = RetryOptions()
     measuring: MeasuringOptions = MeasuringOptions()
     idempotency: IdempotencyOptions = IdempotencyOptions()
+
+    @staticmethod
+    def find_conflicts(fields: Mapping[str, Any]) -> Iterator[Conflict]:
+        """Yields faults that concern several fields."""
+        limits = fields.get("limits")
+        if limits and limits.default_timeout_ms > limits.max_timeout_ms:
+            yield Conflict(
+                "$.limits.default_timeout_ms",
+                f"must be at most max_timeout_ms ({limits.max_timeout_ms})",
+            )
+        names = [entry.name for entry in fields.get("classes", ())]
+        for index, name in enumerate(names):
+            if name in names[:index]:
+                path = f"$.classes[{index}].name"
+                yield Conflict(path, f"class {name!r} is defined twice")
--- a/src/verbenacross/settings/__init__.py
+++ b/src/verbenacross/settings/__init__.py
@@ -6,7 +6,7 @@
 from .entry_settings import EntrySettings
 from .exceptions import SettingsError
 from .finding import Finding
-from .loader import find_faults, load_settings
+from .loader import load_settings
 
 __all__ = [
     "Address",
@@ -15,6 +15,5 @@
     "EntrySettings",
     "Finding",
     "SettingsError",
-    "find_faults",
     "load_settings",
 ]
--- a/src/verbenacross/settings/agent_settings.py
+++ b/src/verbenacross/settings/agent_settings.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Annotated, NamedTuple
+from typing import TYPE_CHECKING, Annotated, Any, NamedTuple
 
 from pydantic import Field
 
 from .address import Address, AddressText
+from .listen_check import find_clashes, is_wildcard
+from .texts import HttpUrl, LogLevel
+from .typed_document import Conflict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
 
 MIN_SHARED_KEY_CHARACTERS = 16
 
@@ -23,8 +29,8 @@
     peer_listen: AddressText
     entry_listen: AddressText
     admin_listen: AddressText
-    store_url: str
-    list_url: str
+    store_url: HttpUrl
+    list_url: HttpUrl
     shared_key: Annotated[str, Field(min_length=MIN_SHARED_KEY_CHARACTERS)]
     region: str = "default"
     seeds: tuple[AddressText, ...] = ()
@@ -33,9 +39,19 @@
     ownership_shards: Annotated[int, Field(ge=1, le=4096)] = 32
     membership_bytes_per_second: Annotated[int, Field(ge=256)] = 4096
     advertise: AddressText | None = None
-    log_level: str = "INFO"
+    log_level: LogLevel = "INFO"
 
     @property
     def peer_address(self) -> Address:
         """The address that other agents are told to connect to."""
         return self.advertise or self.peer_listen
+
+    @staticmethod
+    def find_conflicts(fields: Mapping[str, Any]) -> Iterator[Conflict]:
+        """Yields faults that concern several fields."""
+        yield from find_clashes(fields, ("peer_listen", "entry_listen", "admin_listen"))
+        name = "advertise" if fields.get("advertise") else "peer_listen"
+        address = fields.get(name)
+        if address is not None and is_wildcard(address):
+            message = f"other agents cannot connect to {address}; set advertise"
+            yield Conflict(f"$.{name}", message)
--- a/src/verbenacross/settings/client_settings.py
+++ b/src/verbenacross/settings/client_settings.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Annotated, NamedTuple
+from typing import TYPE_CHECKING, Annotated, Any, NamedTuple
 
 from pydantic import Field
 
 from .address import AddressText
+from .texts import HttpUrl
+from .typed_document import Conflict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
 
 
 class ClientSettings(NamedTuple):
@@ -15,6 +20,14 @@
     ``agents`` are admin addresses of agents; the first that answers gives the status.
     """
 
-    store_url: str
+    store_url: HttpUrl
     agents: tuple[AddressText, ...] = ()
     timeout_ms: Annotated[int, Field(gt=0)] = 5_000
+
+    @staticmethod
+    def find_conflicts(fields: Mapping[str, Any]) -> Iterator[Conflict]:
+        """Yields faults that concern several fields."""
+        agents = fields.get("agents", ())
+        for index, address in enumerate(agents):
+            if address in agents[:index]:
+                yield Conflict(f"$.agents[{index}]", f"{address} is named twice")
--- a/src/verbenacross/settings/entry_settings.py
+++ b/src/verbenacross/settings/entry_settings.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Annotated, NamedTuple
+from typing import TYPE_CHECKING, Annotated, Any, NamedTuple
 
 from pydantic import Field
 
 from .address import AddressText
+from .listen_check import find_clashes, is_loopback
+from .texts import HttpUrl, LogLevel
+from .typed_document import Conflict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
 
 
 class EntrySettings(NamedTuple):
@@ -20,9 +26,17 @@
     listen: AddressText
     admin_listen: AddressText
     agent: AddressText
-    store_url: str
+    store_url: HttpUrl
     drain_notice_ms: Annotated[int, Field(ge=0)] = 1_000
     drain_timeout_ms: Annotated[int, Field(ge=0)] = 60_000
     max_header_bytes: Annotated[int, Field(ge=1_024)] = 16_384
     keyed_requests_per_second: Annotated[float, Field(gt=0)] = 20.0
-    log_level: str = "INFO"
+    log_level: LogLevel = "INFO"
+
+    @staticmethod
+    def find_conflicts(fields: Mapping[str, Any]) -> Iterator[Conflict]:
+        """Yields faults that concern several fields."""
+        yield from find_clashes(fields, ("listen", "admin_listen", "agent"))
+        agent = fields.get("agent")
+        if agent is not None and not is_loopback(agent):
+            yield Conflict("$.agent", f"{agent} is not a loopback address")
--- a/src/verbenacross/settings/loader.py
+++ b/src/verbenacross/settings/loader.py
@@ -1,30 +1,31 @@
-"""Reads JSON documents into typed values and collects what is wrong with them."""
+"""Reads settings files."""
 
 from __future__ import annotations
 
 import pathlib
 from typing import TypeVar
 
-from pydantic import TypeAdapter, ValidationError
-
+from .document import MAX_DOCUMENT_BYTES, DocumentFaultError
 from .exceptions import SettingsError
 from .finding import Finding
+from .typed_document import load_document
 
 Loaded = TypeVar("Loaded")
 
 
-def find_faults(error: ValidationError, source: str) -> list[Finding]:
-    """Returns the findings of a validation error, in document order."""
-    return [
-        Finding(source, format_path(fault["loc"]), fault["msg"])
-        for fault in error.errors(include_url=False, include_input=False)
-    ]
-
+def read_file(path: str) -> bytes:
+    """Returns the content of a file, cut one byte above the allowed size.
 
-def format_path(location: tuple[int | str, ...]) -> str:
-    """Returns a JSON path such as ``$.peers[0]``."""
-    steps = (f"[{step}]" if isinstance(step, int) else f".{step}" for step in location)
-    return "$" + "".join(steps)
+    Raises ``SettingsError`` when it cannot be read.
+    """
+    try:
+        with pathlib.Path(path).open("rb") as file:
+            return file.read(MAX_DOCUMENT_BYTES + 1)
+    except (OSError, ValueError) as error:
+        message = (
+            f"the file cannot be read: {getattr(error, 'strerror', None) or error}"
+        )
+        raise SettingsError([Finding(path, "$", message)]) from error
 
 
 def load_settings(path: str, kind: type[Loaded]) -> Loaded:
@@ -32,13 +33,8 @@
 
     Raises ``SettingsError`` with every finding when the file cannot be used.
     """
+    data = read_file(path)
     try:
-        text = pathlib.Path(path).read_bytes()
-    except OSError as error:
-        raise SettingsError([Finding(path, "$", error.strerror or "")]) from error
-    if not text.lstrip().startswith(b"{"):
-        raise SettingsError([Finding(path, "$", "the document must be a JSON object")])
-    try:
-        return TypeAdapter(kind).validate_json(text)
-    except ValidationError as error:
-        raise SettingsError(find_faults(error, path)) from error
+        return load_document(data, path, kind)
+    except DocumentFaultError as error:
+        raise SettingsError(error.findings) from error
--- /dev/null
+++ b/src/verbenacross/settings/typed_document.py
@@ -0,0 +1,138 @@
+"""Turns JSON documents into typed values and collects what is wrong with them."""
+
+from __future__ import annotations
+
+import functools
+import types
+import typing
+from typing import Annotated, Any, NamedTuple, TypeVar, Union, cast
+
+from pydantic import TypeAdapter, ValidationError
+
+from .document import (
+    MAX_MESSAGE_CHARACTERS,
+    DocumentFaultError,
+    find_repeated_names,
+    format_path,
+    limit_findings,
+    parse_document,
+)
+from .finding import Finding
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+Loaded = TypeVar("Loaded")
+
+build_adapter = functools.cache(TypeAdapter[Any])
+
+
+class Conflict(NamedTuple):
+    """A fault that concerns several fields, at the path of one of them."""
+
+    path: str
+    message: str
+
+
+def load_document(data: bytes, source: str, kind: type[Loaded]) -> Loaded:
+    """Returns the typed value in a JSON text.
+
+    ``kind`` is a named tuple; its static method ``find_conflicts``, if any, gets the
+    valid fields by name. Raises ``DocumentFaultError`` with every finding.
+    """
+    document = parse_document(data, source)
+    findings = find_repeated_names(document, source)
+    findings += find_arrays(document, kind, source)
+    faulty = {finding.path for finding in findings}
+    loaded = None
+    try:
+        loaded = build_adapter(cast("Any", kind)).validate_json(data, strict=True)
+        fields = loaded._asdict()
+    except ValidationError as error:
+        faults = find_faults(error, source)
+        findings += [fault for fault in faults if fault.path not in faulty]
+        fields = get_valid_fields(document, kind, error)
+    findings += [
+        Finding(source, conflict.path, conflict.message)
+        for conflict in find_conflicts(kind, fields)
+    ]
+    if findings:
+        raise DocumentFaultError(limit_findings(findings))
+    return cast("Loaded", loaded)
+
+
+def find_faults(error: ValidationError, source: str) -> list[Finding]:
+    """Returns the findings of a validation error, in document order."""
+    return [
+        Finding(
+            source, format_path(fault["loc"]), fault["msg"][:MAX_MESSAGE_CHARACTERS]
+        )
+        for fault in error.errors(include_url=False, include_input=False)
+    ]
+
+
+def find_conflicts(kind: Any, fields: Mapping[str, Any]) -> Iterator[Conflict]:
+    """Returns the faults that concern several fields."""
+    find = getattr(kind, "find_conflicts", None)
+    return iter(()) if find is None else find(fields)
+
+
+def get_valid_fields(
+    document: dict[str, Any], kind: type, error: ValidationError
+) -> dict[str, Any]:
+    """Returns the fields that are valid on their own, defaults included."""
+    faulty = {fault["loc"][0] for fault in error.errors() if fault["loc"]}
+    if not faulty:
+        return {}
+    fields = dict(kind._field_defaults)  # type: ignore[attr-defined]
+    for name, hint in get_hints(kind).items():
+        if name in faulty:
+            fields.pop(name, None)
+        elif name in document:
+            adapter = TypeAdapter(hint)
+            fields[name] = adapter.validate_python(document[name])
+    return fields
+
+
+def find_arrays(value: Any, hint: Any, source: str) -> list[Finding]:
+    """Returns findings for arrays in places where an object is expected.
+
+    The checks of named tuples take arrays as well, by position.
+    """
+    return [
+        Finding(source, format_path(location), "must be an object, not an array")
+        for location in locate_arrays(value, hint, ())
+    ]
+
+
+def locate_arrays(
+    value: Any, hint: Any, location: tuple[int | str, ...]
+) -> Iterator[tuple[int | str, ...]]:
+    """Yields the locations of arrays where the type is a named tuple."""
+    hint = strip_hint(hint)
+    if hasattr(hint, "_fields"):
+        if isinstance(value, list):
+            yield location
+        elif isinstance(value, dict):
+            for name, part in get_hints(hint).items():
+                yield from locate_arrays(value.get(name), part, (*location, name))
+    elif typing.get_origin(hint) is tuple and isinstance(value, list):
+        element = typing.get_args(hint)[0]
+        for index, item in enumerate(value):
+            yield from locate_arrays(item, element, (*location, index))
+
+
+def strip_hint(hint: Any) -> Any:
+    """Returns a type without its annotations and without ``None``."""
+    if typing.get_origin(hint) is Annotated:
+        return strip_hint(typing.get_args(hint)[0])
+    if typing.get_origin(hint) in (Union, types.UnionType):
+        parts = [part for part in typing.get_args(hint) if part is not type(None)]
+        return strip_hint(parts[0])
+    return hint
+
+
+@functools.cache
+def get_hints(kind: type) -> dict[str, Any]:
+    """Returns the types of the fields of a named tuple."""
+    return typing.get_type_hints(kind, include_extras=True)
