--- /dev/null
+++ b/src/verbenacross/console/application.py
@@ -0,0 +1,74 @@
+"""Command line of the operators' binary."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from dataclasses import dataclass
+
+import cappa
+from rich.console import Console
+
+from .. import __version__
+from .command import Command
+from .commands.apply import ApplyCommand
+from .commands.diff import DiffCommand
+from .commands.list import ListCommand
+from .commands.retire import RetireCommand
+from .commands.show import ShowCommand
+from .commands.status import StatusCommand
+from .commands.validate import ValidateCommand
+from .exceptions import CommandError
+
+EXIT_INTERRUPTED = 130
+UNWRAPPED_WIDTH = 10_000
+
+
+@cappa.command(name="verbenacross")
+@dataclass
+class Application:
+    """Control verbenacross through versioned policy records.
+
+    Every command takes --json and has its own --help. The exit codes are listed in
+    docs/operators/policies.md.
+    """
+
+    command: cappa.Subcommands[
+        ValidateCommand
+        | ApplyCommand
+        | ListCommand
+        | ShowCommand
+        | DiffCommand
+        | RetireCommand
+        | StatusCommand
+    ]
+
+
+def run_command(command: Command) -> int:
+    """Runs a command, prints its result and returns its exit code."""
+    try:
+        result = asyncio.run(command.run())
+    except CommandError as error:
+        result = error.result
+    except KeyboardInterrupt:
+        print("interrupted", file=sys.stderr)
+        return EXIT_INTERRUPTED
+    result.print(command.as_json)
+    return int(result.code)
+
+
+def build_output() -> cappa.Output:
+    """Returns where help goes; completion source must not be wrapped."""
+    if "--completion" not in " ".join(sys.argv):
+        return cappa.Output()
+    return cappa.Output(output_console=Console(width=UNWRAPPED_WIDTH, no_color=True))
+
+
+def main() -> None:
+    """Runs a command of operators."""
+    arguments = cappa.parse(Application, version=__version__, output=build_output())
+    sys.exit(run_command(arguments.command))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/verbenacross/console/commands/diff.py
@@ -0,0 +1,90 @@
+"""The command ``diff``."""
+
+from __future__ import annotations
+
+import json
+import re
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Annotated
+
+import cappa
+
+from ..command import SettingsCommand
+from ..command_result import CommandResult
+from ..exceptions import CommandError
+from ..exit_code import ExitCode
+from ..write_command import report_missing
+
+if TYPE_CHECKING:
+    from ...policy import Policy
+    from ..store_session import StoreSession
+
+VERSION_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}/[1-9][0-9]*")
+
+
+@cappa.command(name="diff")
+@dataclass(kw_only=True)
+class DiffCommand(SettingsCommand):
+    """Compare two policies field by field, with defaults filled in.
+
+    An operand is a policy file or SERVICE/VERSION in the store; write ./a/1 for a file
+    with such a name. With one file, the old side is the version in the store that the
+    file would replace. Exit code 0 if they are equal, 1 if they differ.
+    """
+
+    first: Annotated[str, cappa.Arg(value_name="OLD", help="File or SERVICE/VERSION.")]
+    second: Annotated[
+        str | None,
+        cappa.Arg(
+            value_name="NEW", help="File or SERVICE/VERSION.", show_default=False
+        ),
+    ] = None
+
+    async def run(self) -> CommandResult:
+        """Compares the two operands."""
+        from ..policy_fields import expand, find_changes
+        from ..store_session import open_session
+
+        async with open_session(self.settings) as session:
+            old_name, new_name = self._name_operands()
+            old = await load_operand(session, old_name)
+            new = await load_operand(session, new_name)
+        changes = find_changes(expand(old), expand(new))
+        lines = [
+            f"{change.path}: {json.dumps(change.old)} -> {json.dumps(change.new)}"
+            for change in changes
+        ]
+        data = {
+            "old": old_name,
+            "new": new_name,
+            "changes": [change._asdict() for change in changes],
+        }
+        code = ExitCode.DIFFERENT if changes else ExitCode.OK
+        return CommandResult(code, "\n".join(lines) or "no differences", data)
+
+    def _name_operands(self) -> tuple[str, str]:
+        if self.second is not None:
+            return self.first, self.second
+        from ..policy_file import read_policy_file
+
+        policy = read_policy_file(self.first).policy
+        return f"{policy.service}/{policy.version}", self.first
+
+
+async def load_operand(session: StoreSession, operand: str) -> Policy:
+    """Returns the policy in a file or in the store; raises ``CommandError``."""
+    from ...policy.policy_record import POLICY_PREFIX
+    from ..policy_file import read_policy_file
+    from ..store_session import report_findings
+    from ..stored_policy import StoredPolicy
+
+    if VERSION_PATTERN.fullmatch(operand) is None:
+        return read_policy_file(operand).policy
+    key = POLICY_PREFIX + operand
+    value = await session.store.get(key)
+    if value is None or value.value is None:
+        raise CommandError(report_missing(key))
+    record = StoredPolicy.from_body(key, value.revision, value.value)
+    if record.policy is None:
+        raise CommandError(report_findings(record.findings))
+    return record.policy
--- /dev/null
+++ b/src/verbenacross/console/commands/status.py
@@ -0,0 +1,66 @@
+"""The command ``status``."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import cappa
+
+from ..command import SettingsCommand
+from ..command_result import CommandResult
+from ..exceptions import AgentUnreachableError, CommandError
+from ..exit_code import ExitCode
+
+if TYPE_CHECKING:
+    from ..fleet_status import FleetStatus
+
+
+@cappa.command(name="status")
+@dataclass(kw_only=True)
+class StatusCommand(SettingsCommand):
+    """Show which instance has which store revision in force.
+
+    Asks the agents of the settings in order; the first that answers tells of all
+    members. Exit code 6 if none answers.
+    """
+
+    async def run(self) -> CommandResult:
+        """Reads and prints the status."""
+        from ..status_reader import StatusReader
+        from ..store_session import open_session
+
+        async with open_session(self.settings) as session:
+            try:
+                status = await StatusReader(session.http, session.settings).read()
+            except AgentUnreachableError as error:
+                text = f"no agent answered: {error}"
+                result = CommandResult(
+                    ExitCode.UNREACHABLE, text, {"error": str(error)}
+                )
+                raise CommandError(result) from error
+        data = status._asdict() | {
+            "members": [member._asdict() for member in status.members]
+        }
+        return CommandResult(ExitCode.OK, format_status(status), data)
+
+
+def format_status(status: FleetStatus) -> str:
+    """Returns the status as a table, with the findings below."""
+    from ..table_text import format_table
+
+    rows = [
+        [
+            member.instance,
+            member.failure_domain or "-",
+            member.state,
+            str(member.in_force),
+            "yes" if member.in_force >= status.watermark else "no",
+        ]
+        for member in sorted(status.members)
+    ]
+    header = ["INSTANCE", "FAILURE DOMAIN", "STATE", "IN FORCE", "CURRENT"]
+    lines = [f"as known to {status.instance}, store revision {status.watermark}"]
+    lines.append(format_table(header, rows))
+    lines += [f"finding: {finding}" for finding in status.findings]
+    return "\n".join(lines)
--- /dev/null
+++ b/tests/console/test_application.py
@@ -0,0 +1,54 @@
+"""Start, help and completion of the operators' binary."""
+
+import os
+import subprocess
+import sys
+import time
+
+COMMAND = [sys.executable, "-m", "verbenacross.console.application"]
+MAX_HELP_S = 1.0
+
+
+def run(*arguments, **variables):
+    return subprocess.run(
+        [*COMMAND, *arguments],
+        env=os.environ | {"SHELL": "/bin/bash"} | variables,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+def test_help_starts_fast_and_names_every_command():
+    """Guards against imports of the data path before the arguments are read."""
+    times = []
+    for _ in range(3):
+        started = time.monotonic()
+        ran = run("--help")
+        times.append(time.monotonic() - started)
+    assert ran.returncode == 0
+    for name in ("validate", "apply", "list", "show", "diff", "retire", "status"):
+        assert f"    {name} " in ran.stdout
+    assert min(times) < MAX_HELP_S
+    heavy = "import sys; import verbenacross.console.application; "
+    heavy += "print([m for m in ('aiohttp', 'reactivex') if m in sys.modules])"
+    printed = subprocess.check_output([sys.executable, "-c", heavy], text=True)
+    assert printed.strip() == "[]"
+
+
+def test_completion_script_is_not_wrapped():
+    """Guards against a shell function that the width of a terminal broke apart."""
+    ran = run("--completion", "generate")
+    call = next(line for line in ran.stdout.splitlines() if "response=$" in line)
+    assert call.endswith("$1 --completion=complete)")
+    line = "verbenacross ret"
+    completed = run(
+        "--completion=complete", COMPLETION_LINE=line, COMPLETION_LOCATION="2"
+    )
+    assert completed.stdout.startswith("retire:")
+
+
+def test_wrong_usage_has_the_exit_code_of_invalid_input():
+    """Guards against a usage error that looks like another outcome."""
+    assert run("apply").returncode == 2
+    assert run("nosuch").returncode == 2
