--- a/src/verbenacross/entry/exchange.py
+++ b/src/verbenacross/entry/exchange.py
@@ -46,6 +46,7 @@
 
 MS_PER_S = 1_000
 HTTP_SERVER_ERROR = 500
+SILENCE_SHARE = 0.5
 RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 
 DEADLINE_EXCEEDED = Refusal(
@@ -91,6 +92,7 @@
         self._tried: list[str] = []
         self._fallback: web.StreamResponse | RefusedError | None = None
         self._cut_short = False
+        self._gave_up_early = False
         self.execution = Execution.NOT_RUN
 
     @property
@@ -148,8 +150,13 @@
         before, self.execution = self.execution, Execution.UNKNOWN
         attempt_id = f"{self._context.request_id}.{random.getrandbits(32):08x}"
         try:
-            async with asyncio.timeout(self._get_remaining_s()):
-                answer = await self._send(upstream, headers, attempt_id, guard)
+            async with asyncio.timeout(self._get_remaining_s()) as limit:
+                early = self._limit_silence(limit)
+                try:
+                    answer = await self._send(upstream, headers, attempt_id, guard)
+                finally:
+                    if early is not None:
+                        early.cancel()
                 try:
                     check_head(answer, attempt_id)
                     self._note_execution(before, read_execution(answer))
@@ -177,6 +184,26 @@
             latency_s = time.monotonic() - started
             self._gate.release(upstream, outcome._replace(latency_s=latency_s))
 
+    def _limit_silence(self, limit: asyncio.Timeout) -> asyncio.TimerHandle | None:
+        """Ends a wait for a head on a reused connection after half of the time.
+
+        An open connection can go silent for good while new ones work. Only short
+        idempotent requests on reused connections are given up early, and only if they
+        may be sent again.
+        """
+        context = self._context
+        reused = context.idempotent and not self._tried
+        if not reused or context.request_class.size == "long":
+            return None
+        wait_s = self._get_remaining_s() * SILENCE_SHARE
+        loop = asyncio.get_running_loop()
+        return loop.call_later(wait_s, self._give_up_early, limit)
+
+    def _give_up_early(self, limit: asyncio.Timeout) -> None:
+        if self._may_retry(Execution.UNKNOWN):
+            self._gave_up_early = True
+            limit.reschedule(asyncio.get_running_loop().time())
+
     async def _send(
         self,
         upstream: UpstreamState,
@@ -269,8 +296,10 @@
         else:
             refused = self._refuse(UPSTREAM_FAILED, error)
         self._log_failure(upstream_id, error, refused.refusal.problem)
-        if not self._may_retry(Execution.UNKNOWN if sent else Execution.NOT_RUN):
+        execution = Execution.UNKNOWN if sent else Execution.NOT_RUN
+        if not self._gave_up_early and not self._may_retry(execution):
             raise refused from error
+        self._gave_up_early = False
         self._fallback = refused
 
     def _may_retry(self, execution: Execution) -> bool:
