Add the measurement tool

Cause: routing and limits are to be chosen by figures, and none existed.

A central queue in front of all slots, short work first, is the reachable limit. Policy gets routing.outlier_detection and limits.adaptive_concurrency so that the baselines can run without the mechanisms to come, and the chooser name least_estimated.

Work times are scaled up (short work 60 to 160 ms) instead of counts down, since one call costs about 1.5 ms of processor time over all processes.

--- /dev/null
+++ b/measure/cell_result.py
@@ -0,0 +1,120 @@
+"""Figures of one run of one arm in one scenario."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+SIGNIFICANT_DIGITS = 3
+US_PER_S = 1_000_000
+US_PER_MS = 1_000
+HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+
+
+class LedgerEntry(NamedTuple):
+    """A request that ran: where, from when until when."""
+
+    upstream: str
+    size: str
+    started: float
+    finished: float | None
+
+
+def build_histogram(latencies_s: list[float]) -> Any:
+    """Returns a histogram in microseconds."""
+    histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+    for latency_s in latencies_s:
+        histogram.record_value(max(LOWEST_US, int(latency_s * US_PER_S)))
+    return histogram
+
+
+def get_percentiles(latencies_s: list[float]) -> dict[str, float]:
+    """Returns p50, p99 and p99.9 in milliseconds."""
+    if not latencies_s:
+        return {"p50": 0.0, "p99": 0.0, "p99.9": 0.0}
+    histogram = build_histogram(latencies_s)
+    return {
+        f"p{percentile:g}": histogram.get_value_at_percentile(percentile) / US_PER_MS
+        for percentile in (50, 99, 99.9)
+    }
+
+
+def summarize(
+    results: list[dict[str, Any]],
+    ledger: dict[str, list[LedgerEntry]],
+    slots: int,
+    slots_total: int,
+    window: tuple[float, float],
+) -> dict[str, Any]:
+    """Returns the figures of a run.
+
+    ``window`` is the time in which goodput is counted: work answered as a share of what
+    all slots can do.
+    """
+    answered = [result for result in results if result["status"] == HTTP_OK]
+    short = [entry for entry in answered if entry["size"] == "short"]
+    latencies = [entry["done"] - entry["due"] for entry in short]
+    long_latencies = [
+        entry["done"] - entry["due"] for entry in answered if entry["size"] == "long"
+    ]
+    done_ms = sum(
+        entry["work_ms"] for entry in answered if window[0] <= entry["done"] < window[1]
+    )
+    capacity_ms = slots_total * (window[1] - window[0]) * 1e3
+    refused = [result for result in results if result["status"] == HTTP_UNAVAILABLE]
+    return {
+        "requests": len(results),
+        "short": get_percentiles(latencies),
+        "long": get_percentiles(long_latencies),
+        "latencies_s": latencies,
+        "answered_share": len(answered) / max(1, len(results)),
+        "goodput": done_ms / capacity_ms,
+        "refused": len(refused),
+        "refused_false": count_false_refusals(refused, ledger),
+        "failed": len(results) - len(answered) - len(refused),
+        "not_whole": sum(not entry["whole"] for entry in answered),
+        "behind_long_s": sum_behind_long(results, ledger, slots),
+    }
+
+
+def count_false_refusals(
+    refused: list[dict[str, Any]], ledger: dict[str, list[LedgerEntry]]
+) -> int:
+    """Returns how many refusals said "not run" of work that ran."""
+    return sum(
+        entry["execution"] == "not-run" and entry["work"] in ledger for entry in refused
+    )
+
+
+def sum_behind_long(
+    results: list[dict[str, Any]], ledger: dict[str, list[LedgerEntry]], slots: int
+) -> float:
+    """Returns the seconds that short work waited, weighted by slots with long work.
+
+    A request that waits on a server whose slots all run long work counts fully.
+    """
+    long_runs: dict[str, list[LedgerEntry]] = {}
+    for result in results:
+        if result["size"] == "long":
+            for entry in ledger.get(result["work"], ()):
+                long_runs.setdefault(entry.upstream, []).append(entry)
+    total = 0.0
+    for result in results:
+        if result["size"] == "long":
+            continue
+        for entry in ledger.get(result["work"], ())[-1:]:
+            runs = long_runs.get(entry.upstream, ())
+            total += sum(
+                overlap(run, result["due"], entry.started) / slots for run in runs
+            )
+    return total
+
+
+def overlap(run: LedgerEntry, start: float, end: float) -> float:
+    """Returns how many seconds of an interval a run covers."""
+    finished = end if run.finished is None else run.finished
+    return max(0.0, min(finished, end) - max(run.started, start))
--- /dev/null
+++ b/measure/load_generator.py
@@ -0,0 +1,90 @@
+"""Sends a schedule of requests at their due times, whether or not others returned.
+
+Reads a JSON job from a file and writes one JSON list of results. Latency counts from
+the due time, so that waiting in this process and in an entry is not hidden.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import sys
+import time
+from typing import Any
+
+import aiohttp
+import uvloop
+
+CLIENT_MARGIN_S = 2.0
+
+
+class LoadGenerator:
+    """One entry of callers."""
+
+    def __init__(self, job: dict[str, Any], session: aiohttp.ClientSession) -> None:
+        self._job = job
+        self._session = session
+        self.results: list[dict[str, Any]] = []
+
+    async def run(self) -> None:
+        """Sends every request at its time and waits for all answers."""
+        async with asyncio.TaskGroup() as tasks:
+            for number, arrival in self._job["arrivals"]:
+                due = self._job["start"] + arrival[0]
+                delay = due - time.time()
+                if delay > 0:
+                    await asyncio.sleep(delay)
+                tasks.create_task(self._send(number, arrival, due))
+
+    async def _send(self, number: int, arrival: list[Any], due: float) -> None:
+        _, service, size, work_ms, entry = arrival
+        work = f"{self._job['cell']}-{number}"
+        timeout_ms = self._job["timeout_ms"]
+        headers = {
+            "X-Work-Id": work,
+            "X-Work-Ms": f"{work_ms:.3f}",
+            "Request-Timeout-Ms": str(timeout_ms),
+            **self._job["headers"],
+        }
+        status, execution, whole = 0, "", False
+        urls = self._job["urls"]
+        try:
+            async with self._session.get(
+                f"{urls[entry % len(urls)]}/{service}/{size}",
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=timeout_ms / 1e3 + CLIENT_MARGIN_S),
+            ) as answer:
+                body = await answer.read()
+                status = answer.status
+                execution = answer.headers.get("Execution-Status", "")
+                whole = body.startswith(work.encode())
+        except (aiohttp.ClientError, TimeoutError):
+            pass
+        self.results.append(
+            {
+                "work": work,
+                "size": size,
+                "service": service,
+                "work_ms": work_ms,
+                "due": due,
+                "done": time.time(),
+                "status": status,
+                "execution": execution,
+                "whole": whole,
+            }
+        )
+
+
+async def run(job_path: str, result_path: str) -> None:
+    """Runs one job."""
+    job = json.loads(pathlib.Path(job_path).read_text())
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        generator = LoadGenerator(job, session)
+        await generator.run()
+    pathlib.Path(result_path).write_text(json.dumps(generator.results))
+
+
+if __name__ == "__main__":
+    uvloop.run(run(sys.argv[1], sys.argv[2]))
--- /dev/null
+++ b/measure/scenario.py
@@ -0,0 +1,149 @@
+"""Scenarios of the measurement tool: deployments, workloads, faults."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+SLOTS = 6
+
+
+class ServiceSize(NamedTuple):
+    """A service with its number of servers."""
+
+    name: str
+    servers: int
+
+
+class Deployment(NamedTuple):
+    """A user's deployment of the design's table.
+
+    ``connections`` is the limit of each server. Work times are scaled up so that one
+    machine carries the stated counts of servers and entries.
+    """
+
+    name: str
+    failure_domains: tuple[str, ...]
+    services: tuple[ServiceSize, ...]
+    connections: int
+    entries: int
+
+
+class Workload(NamedTuple):
+    """Open-loop demand on each of the services.
+
+    ``utilization`` is the offered work as a share of what the slots can do.
+    ``crest`` multiplies demand between ``CREST_STARTS`` and ``CREST_ENDS`` of the run.
+    """
+
+    services: tuple[str, ...]
+    utilization: float = 0.7
+    short_ms: float = 60.0
+    long_factor: float = 20.0
+    long_share: float = 0.02
+    crest: float = 1.0
+    timeout_ms: int = 6_000
+
+
+class Fault(NamedTuple):
+    """Behaviour of stand-ins; ``servers`` are indices in the first service."""
+
+    servers: tuple[int, ...] = ()
+    behaviour: tuple[tuple[str, float], ...] = ()
+    noisy: bool = False
+
+
+class Scenario(NamedTuple):
+    """A workload on a deployment under a fault; ``arms`` limits what is compared."""
+
+    name: str
+    deployment: str
+    workload: Workload
+    fault: Fault = Fault()
+    arms: tuple[str, ...] = ()
+
+
+DEPLOYMENTS = {
+    "vn-north": Deployment(
+        "vn-north",
+        ("hanoi-a", "hanoi-b", "haiphong-a"),
+        (
+            ServiceSize("clause-registry", 15),
+            ServiceSize("certification-ledger", 6),
+            ServiceSize("dossier-archive", 6),
+            ServiceSize("inspection-desk", 6),
+        ),
+        220,
+        13,
+    ),
+    "be-central": Deployment(
+        "be-central",
+        ("a", "b", "c", "d"),
+        (
+            ServiceSize("layerhouse", 18),
+            ServiceSize("cuepublish", 13),
+            ServiceSize("clipvault", 8),
+            ServiceSize("stationfeed", 8),
+        ),
+        260,
+        19,
+    ),
+}
+
+CLAUSES = Workload(("clause-registry",))
+MAIN_ARMS = ("round_robin", "default", "central")
+
+SCENARIOS = (
+    Scenario("normal", "vn-north", CLAUSES),
+    Scenario(
+        "slow-10x", "vn-north", CLAUSES, Fault((3,), (("slowdown", 10.0),)), MAIN_ARMS
+    ),
+    Scenario(
+        "fail-fast", "vn-north", CLAUSES, Fault((3,), (("fail_fast", 1.0),)), MAIN_ARMS
+    ),
+    Scenario(
+        "stale-reports",
+        "vn-north",
+        CLAUSES,
+        Fault((1, 6, 11), (("report_in_flight", 4),)),
+        MAIN_ARMS,
+    ),
+    Scenario(
+        "idle-claimed",
+        "vn-north",
+        CLAUSES,
+        Fault((3,), (("report_in_flight", 0), ("slowdown", 3.0))),
+        MAIN_ARMS,
+    ),
+    Scenario("noisy", "vn-north", CLAUSES, Fault(noisy=True), MAIN_ARMS),
+    Scenario(
+        "all-services",
+        "vn-north",
+        Workload(
+            tuple(service.name for service in DEPLOYMENTS["vn-north"].services),
+            short_ms=120.0,
+        ),
+        arms=MAIN_ARMS,
+    ),
+    Scenario(
+        "all-services-be",
+        "be-central",
+        Workload(
+            tuple(service.name for service in DEPLOYMENTS["be-central"].services),
+            short_ms=160.0,
+        ),
+        arms=MAIN_ARMS,
+    ),
+    Scenario(
+        "crest-4x",
+        "be-central",
+        Workload(
+            ("layerhouse",),
+            utilization=0.35,
+            short_ms=120.0,
+            long_factor=8.0,
+            crest=4.0,
+            timeout_ms=2_000,
+        ),
+        arms=MAIN_ARMS,
+    ),
+)
--- a/src/verbenacross/policy/policy.py
+++ b/src/verbenacross/policy/policy.py
@@ -18,6 +18,7 @@
     "two_choices",
     "two_choices_reported",
     "report_pool",
+    "least_estimated",
 ]
 
 
@@ -50,15 +51,24 @@
 
 
 class RoutingOptions(NamedTuple):
-    """How an upstream is chosen."""
+    """How an upstream is chosen.
+
+    Without ``outlier_detection`` the chooser alone decides: slow and failing upstreams
+    are neither avoided nor ejected, and new ones get no ramp.
+    """
 
     chooser: Chooser = "two_choices_reported"
     prefer_near: bool = True
+    outlier_detection: bool = True
 
 
 class LimitOptions(NamedTuple):
-    """Bounds on waiting and on long work."""
+    """Bounds on waiting and on long work.
+
+    Without ``adaptive_concurrency`` requests wait on upstreams, never in the entry.
+    """
 
+    adaptive_concurrency: bool = True
     queue_size: Annotated[int, Field(ge=0, le=100_000)] = 512
     default_timeout_ms: Milliseconds = 10_000
     max_timeout_ms: Milliseconds = 120_000
