Choose upstreams by estimate, detect outliers, queue in the entry

Cause: the router knew only its own requests in flight, so an entry saw about 1/13 of the load on an upstream, and everything waited on upstreams.

Change: choosers as data classes; estimate from own requests in flight and the last report, which decays towards the mean over upstreams; typical latency by class; slowness from answered requests and from those in flight; ejection with a cap and recovery; cold-start ramp; subset by connection limit; a queue by priority and deadline in ServiceGate with refusals as soon as a deadline is out of reach.

--- a/measure/bench.py
+++ b/measure/bench.py
@@ -23,6 +23,8 @@
 GENERATORS = 3
 START_DELAY_S = 0.6
 SETTLE_S = 0.4
+# Requests due earlier do not count: servers fill up with long work only over time.
+WARM_UP_S = 1.5
 PROCESS_START_S = 5.0
 NOISE_FACTOR = 4.0
 NOISE_MAX_S = 0.3
@@ -62,6 +64,7 @@
     Arm("two_choices", 5, {"chooser": "two_choices", **PLAIN_ROUTING}, PLAIN_LIMITS),
     Arm("central", 0, {}, {}),
     Arm("two_choices_reported", 6, {"chooser": "two_choices_reported"}, {}),
+    Arm("least_estimated", 11, {"chooser": "least_estimated"}, {}),
     Arm("report_pool", 7, {"chooser": "report_pool"}, {}),
     Arm("without_near", 8, {"prefer_near": False}, {}),
     Arm("without_outliers", 9, {"outlier_detection": False}, {}),
@@ -128,6 +131,7 @@
             results = self._send(scenario, arm, seed, arrivals, start)
         for server in self._servers[scenario.workload.services[0]]:
             self._fleet.set_behaviour(server, **QUIET_BEHAVIOUR)
+        results = [item for item in results if item["due"] >= start + WARM_UP_S]
         window = (start + duration_s * CREST_STARTS, start + duration_s * CREST_ENDS)
         self.cells.append(Cell(scenario, arm, seed, window, results))
         time.sleep(SETTLE_S)
--- a/src/verbenacross/entry/entry.py
+++ b/src/verbenacross/entry/entry.py
@@ -15,6 +15,7 @@
 
 from ..limits import ServiceGate
 from ..observability import AdminServer
+from ..platform.instance_list import AGENT_SERVICE
 from ..policy import PolicyTable
 from ..policy.policy_selector import (
     PolicySelector,
@@ -154,11 +155,20 @@
     def _get_gate(self, service: str) -> ServiceGate:
         gate = self._gates.get(service)
         if gate is None:
-            router = ServiceRouter(self._generator)
+            router = ServiceRouter(self._generator, self.settings.failure_domain)
             router.set_instances(self.directory.get_service(service))
+            router.set_peers(self._get_peers(), self.settings.instance)
             gate = self._gates[service] = ServiceGate(service, router)
         return gate
 
     def _update_routers(self, updates: DirectoryUpdates) -> None:
+        peers = self._get_peers()
         for service, gate in self._gates.items():
+            gate.router.set_peers(peers, self.settings.instance)
             gate.router.set_instances(self.directory.get_service(service))
+            gate.dispatch()
+
+    def _get_peers(self) -> list[str]:
+        """Returns the ids of the live instances that run an agent, as entries do."""
+        agents = self.directory.get_service(AGENT_SERVICE)
+        return [agent.id for agent in agents if agent.state == "live"]
--- a/src/verbenacross/policy/policy.py
+++ b/src/verbenacross/policy/policy.py
@@ -54,11 +54,14 @@
     """How an upstream is chosen.
 
     Without ``outlier_detection`` the chooser alone decides: slow and failing upstreams
-    are neither avoided nor ejected, and new ones get no ramp.
+    are neither avoided nor ejected, and new ones get no ramp. ``near_bonus_requests``
+    is how many more requests in flight an upstream of the entry's own failure domain
+    may have before one of another domain is preferred.
     """
 
     chooser: Chooser = "two_choices_reported"
     prefer_near: bool = True
+    near_bonus_requests: Annotated[float, Field(ge=0, le=1_000)] = 1.0
     outlier_detection: bool = True
 
 
--- a/src/verbenacross/refusals/refusal.py
+++ b/src/verbenacross/refusals/refusal.py
@@ -53,6 +53,11 @@
         )
 
 
-def refuse_not_run(status: int, problem: str, title: str) -> RefusedError:
+def refuse_not_run(
+    status: int, problem: str, title: str, retry_after_s: int | None = None
+) -> RefusedError:
     """Returns the error for a request that is refused before anything was sent."""
-    return RefusedError(Refusal(status, problem, title, Execution.NOT_RUN))
+    refusal = Refusal(
+        status, problem, title, Execution.NOT_RUN, retry_after_s=retry_after_s
+    )
+    return RefusedError(refusal)
--- a/src/verbenacross/routing/service_router.py
+++ b/src/verbenacross/routing/service_router.py
@@ -2,44 +2,326 @@
 
 from __future__ import annotations
 
+import math
 import random
+import time
 from typing import TYPE_CHECKING
 
+from .choosers import Chooser, create_chooser, pick_upstream
+from .class_latencies import ClassLatencies
+from .load_estimator import LoadEstimator
+from .outlier_detector import MIN_RAMP, OutlierDetector
+from .subset import Subset, select_subset
+from .upstream_knowledge import NoKnowledge, UpstreamKnowledge
 from .upstream_state import UpstreamState
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from ..platform.instance_list import Instance
+    from ..policy.policy import Policy
+    from .attempt_outcome import AttemptOutcome
+    from .request_context import RequestContext
+
+MS_PER_S = 1_000
+REFRESH_INTERVAL_S = 0.01
+DRAINING_S = 30.0
+LIMIT_HEADROOM = 1.0
+MIN_LIMIT_SHARE = 0.5
+MAX_LIMIT_SHARE = 2.0
+LIMIT_DECREASE = 0.85
+LIMIT_INCREASE = 0.1
+SLOWNESS_SHRINKS = 1.6
+SLOWNESS_GROWS = 1.2
+FAIR_SHARE_HEADROOM = 1.1
 
 
 class ServiceRouter:
-    """Chooses an upstream of one service by power of two choices."""
+    """Chooses an upstream of one service and learns from each outcome."""
 
-    def __init__(self, generator: random.Random) -> None:
+    def __init__(
+        self,
+        generator: random.Random,
+        failure_domain: str = "",
+        knowledge: UpstreamKnowledge | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.clock = clock
+        self.latencies = ClassLatencies()
+        self.in_flight = 0
         self._generator = generator
+        self._failure_domain = failure_domain
+        self._knowledge: UpstreamKnowledge = knowledge or NoKnowledge()
+        self._estimator = LoadEstimator()
+        self._detector = OutlierDetector(self.latencies, generator)
+        self._choosers: dict[str, Chooser] = {}
         self._states: dict[str, UpstreamState] = {}
+        self._own = ""
+        self._peers: frozenset[str] = frozenset()
+        self._subset: Subset | None = None
+        self._subset_connections = 0
+        self._usable: list[UpstreamState] = []
+        self._usable_until = -math.inf
+        self._usable_policy: Policy | None = None
+        self._refreshed = clock()
 
     def set_instances(self, instances: Iterable[Instance]) -> None:
-        """Takes the instances of the service; keeps the state of those that stay."""
+        """Takes the instances of the service; keeps the state of those that stay.
+
+        An upstream that appears later than the first ones starts cold.
+        """
+        now = self.clock()
         states = {}
         for instance in instances:
             known = self._states.get(instance.id)
             if known is None or known.instance.address != instance.address:
                 known = UpstreamState(instance)
+                if self._states:
+                    known.ramp_started = now
             known.instance = instance
+            known.near = instance.failure_domain == self._failure_domain
             states[instance.id] = known
         self._states = states
+        self._subset = None
+        self._usable_until = -math.inf
+
+    def set_peers(self, peers: Iterable[str], own: str) -> None:
+        """Takes the ids of all instances that run entries, and that of this one."""
+        self._peers = frozenset(peers)
+        self._own = own
+        self._subset = None
+        self._usable_until = -math.inf
 
-    def choose(self, excluded: Collection[str] = ()) -> UpstreamState | None:
-        """Returns an upstream for a request, or ``None`` when there is none."""
+    def get_states(self) -> Collection[UpstreamState]:
+        """Returns what is known of each upstream."""
+        return self._states.values()
+
+    def has_upstream(self, excluded: Collection[str] = ()) -> bool:
+        """Returns whether any live upstream is left."""
+        return any(
+            state.instance.state == "live" and state.instance.id not in excluded
+            for state in self._states.values()
+        )
+
+    def choose(
+        self, context: RequestContext, excluded: Collection[str] = ()
+    ) -> UpstreamState | None:
+        """Returns an upstream for a request, or ``None`` when none has room."""
+        now = self.clock()
+        policy = context.policy
+        if now >= self._usable_until or policy is not self._usable_policy:
+            self._refresh(policy, now)
+        candidates = self._usable
+        pool = self._subset.pool if self._subset else policy.upstreams.connections
+        scores = RouterScores(self, policy, now)
+        if policy.limits.adaptive_concurrency and not self._is_below_share(policy):
+            candidates = [
+                state
+                for state in candidates
+                if scores.estimate(state) + 1 <= self._get_limit(state, policy)
+            ]
         candidates = [
             state
-            for state in self._states.values()
-            if state.instance.state == "live" and state.instance.id not in excluded
+            for state in candidates
+            if state.in_flight < pool and state.instance.id not in excluded
         ]
         if not candidates:
             return None
-        first = self._generator.choice(candidates)
-        second = self._generator.choice(candidates)
-        return first if first.in_flight <= second.in_flight else second
+        chooser = self._get_chooser(policy)
+        return pick_upstream(chooser, candidates, scores, self._generator)
+
+    def start(self, state: UpstreamState, context: RequestContext) -> None:
+        """Counts an attempt that is sent now."""
+        self.in_flight += 1
+        state.start_attempt(self.clock(), context.request_class.name)
+
+    def finish(
+        self,
+        state: UpstreamState,
+        outcome: AttemptOutcome,
+        policy: Policy | None,
+        calm: bool,
+    ) -> None:
+        """Takes the outcome of an attempt; ``calm`` means that no request waits."""
+        now = self.clock()
+        self._take_announcements(state, outcome, now)
+        self.in_flight -= 1
+        latency_s = outcome.latency_s
+        attempt = state.end_attempt(now, math.inf if outcome.cancelled else latency_s)
+        if outcome.cancelled:
+            return
+        slots = policy.upstreams.slots if policy else 1
+        if outcome.shed:
+            state.limit = max(1.0, state.limit * LIMIT_DECREASE)
+            self._estimator.take_report(state, max(slots, state.in_flight + 1), now)
+            return
+        ratio = self.latencies.get_ratio(attempt.class_name, latency_s)
+        if not outcome.failed:
+            self.latencies.add(attempt.class_name, latency_s, calm)
+            self._estimator.horizon_s = self.latencies.mean_s
+        if self._detector.note_outcome(state, outcome, ratio, now):
+            self._usable_until = -math.inf
+        if outcome.load is not None:
+            self._estimator.judge_report(state, slots)
+        if not outcome.failed:
+            self._adapt_limit(state, slots, now)
+
+    def withdraw(self, state: UpstreamState) -> None:
+        """Undoes the latest ``start`` of an attempt that was never sent."""
+        self.in_flight -= 1
+        state.end_attempt(self.clock(), 0.0)
+
+    def get_penalty(self, state: UpstreamState, policy: Policy, now: float) -> float:
+        """Returns the factor by which slowness, failures and a ramp add to a score."""
+        if not policy.routing.outlier_detection:
+            return 1.0
+        penalty = self._detector.get_penalty(state, now)
+        return penalty / self._get_ramp(state, policy, now)
+
+    def estimate(self, state: UpstreamState, now: float) -> float:
+        """Returns the requests in flight on an upstream over all entries."""
+        return self._estimator.estimate(state, now)
+
+    def is_ejected(self, state: UpstreamState, now: float) -> bool:
+        """Returns whether this entry or another instance ejected the upstream."""
+        return now < state.ejected_until or self._knowledge.is_ejected(
+            state.instance.id
+        )
+
+    def _get_chooser(self, policy: Policy) -> Chooser:
+        name = policy.routing.chooser
+        chooser = self._choosers.get(name)
+        if chooser is None:
+            chooser = self._choosers[name] = create_chooser(name)
+        return chooser
+
+    def _refresh(self, policy: Policy, now: float) -> None:
+        """Finds the upstreams that may get work; holds for ``REFRESH_INTERVAL_S``."""
+        self._update_subset(policy)
+        subset = self._subset
+        live = [
+            state
+            for state in self._states.values()
+            if state.instance.state == "live"
+            and now >= state.draining_until
+            and self._knowledge.may_get_work(state.instance.id)
+            and (subset is None or state.instance.id in subset.upstreams)
+        ]
+        for state in live:
+            if state.ramp_started < 0 and self._knowledge.is_cold(state.instance.id):
+                state.ramp_started = now
+            self._detector.decay(state, now - self._refreshed)
+            self._detector.forgive(state, now)
+        if policy.routing.outlier_detection:
+            live = self._remove_ejected(live, policy, now)
+        self._estimator.assume_symmetry(live, max(1, len(self._peers)))
+        self._usable = live
+        self._usable_policy = policy
+        self._usable_until = now + REFRESH_INTERVAL_S
+        self._refreshed = now
+
+    def _remove_ejected(
+        self, live: list[UpstreamState], policy: Policy, now: float
+    ) -> list[UpstreamState]:
+        kept = [state for state in live if not self.is_ejected(state, now)]
+        most = policy.upstreams.max_ejected_share * len(live)
+        return kept if len(live) - len(kept) <= most else live
+
+    def _update_subset(self, policy: Policy) -> None:
+        connections = policy.upstreams.connections
+        if not self._peers:
+            return
+        if self._subset is None or connections != self._subset_connections:
+            live = [
+                state.instance.id
+                for state in self._states.values()
+                if state.instance.state == "live"
+            ]
+            self._subset = select_subset(live, self._peers, self._own, connections)
+            self._subset_connections = connections
+
+    def _is_below_share(self, policy: Policy) -> bool:
+        """Returns whether this entry uses less than its equal share of all slots.
+
+        Below its share an entry sends even where it believes there is no room, so that
+        wrong estimates never leave slots idle while requests wait.
+        """
+        slots: float = policy.upstreams.slots * len(self._usable)
+        if self._subset is not None and self._states:
+            slots = slots * len(self._states) / max(1, len(self._subset.upstreams))
+        share = slots * FAIR_SHARE_HEADROOM / max(1, len(self._peers))
+        return self.in_flight < math.ceil(share)
+
+    def _get_limit(self, state: UpstreamState, policy: Policy) -> float:
+        if not state.limit:
+            state.limit = policy.upstreams.slots * LIMIT_HEADROOM
+        return state.limit
+
+    def _adapt_limit(self, state: UpstreamState, slots: int, now: float) -> None:
+        if not state.limit:
+            state.limit = slots * LIMIT_HEADROOM
+        if state.slowness > SLOWNESS_SHRINKS:
+            if now - state.limit_changed < self.latencies.mean_s:
+                return
+            state.limit_changed = now
+            state.limit = max(slots * MIN_LIMIT_SHARE, state.limit * LIMIT_DECREASE)
+            return
+        in_use = self.estimate(state, now) + 1 >= state.limit
+        if in_use and state.slowness < SLOWNESS_GROWS:
+            bound = slots * MAX_LIMIT_SHARE
+            state.limit = min(bound, state.limit + LIMIT_INCREASE)
+
+    def _get_ramp(self, state: UpstreamState, policy: Policy, now: float) -> float:
+        """Returns the share of normal load, 0.1 to 1, of a cold upstream."""
+        ramp = self._detector.get_recovery(state, now)
+        cold_s = policy.upstreams.cold_start_ms / MS_PER_S
+        age_s = now - state.ramp_started
+        if age_s < cold_s:
+            ramp = min(ramp, max(MIN_RAMP, age_s / cold_s))
+        return ramp
+
+    def _take_announcements(
+        self, state: UpstreamState, outcome: AttemptOutcome, now: float
+    ) -> None:
+        if outcome.load is not None:
+            self._estimator.take_report(state, outcome.load.in_flight, now)
+        match outcome.announced_state:
+            case "draining":
+                state.draining_until = now + DRAINING_S
+                self._usable_until = -math.inf
+            case "cold":
+                if state.ramp_started < 0:
+                    state.ramp_started = now
+            case _:
+                return
+
+
+class RouterScores:
+    """Scores of upstreams for one choice."""
+
+    __slots__ = ("_now", "_policy", "_router")
+
+    def __init__(self, router: ServiceRouter, policy: Policy, now: float) -> None:
+        self._router = router
+        self._policy = policy
+        self._now = now
+
+    def estimate(self, state: UpstreamState) -> float:
+        """Returns the requests in flight over all entries."""
+        return self._router.estimate(state, self._now)
+
+    def score_own(self, state: UpstreamState) -> float:
+        """Returns the score by this entry's requests in flight alone."""
+        return self._weigh(state, state.in_flight)
+
+    def score(self, state: UpstreamState) -> float:
+        """Returns the score by the estimate over all entries."""
+        return self._weigh(state, self.estimate(state))
+
+    def _weigh(self, state: UpstreamState, load: float) -> float:
+        penalty = self._router.get_penalty(state, self._policy, self._now)
+        weighed = (load + 1) * penalty
+        routing = self._policy.routing
+        if routing.prefer_near and not state.near:
+            weighed += routing.near_bonus_requests
+        return weighed
--- a/src/verbenacross/routing/upstream_state.py
+++ b/src/verbenacross/routing/upstream_state.py
@@ -2,19 +2,78 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import math
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from ..platform.instance_list import Instance
 
 
+class AttemptStart(NamedTuple):
+    """An attempt in flight: its start on the monotonic clock and its class."""
+
+    started: float
+    class_name: str
+
+
 class UpstreamState:
-    """What an entry knows of one upstream; updated on each request."""
+    """What an entry knows of one upstream; updated on each request.
 
-    __slots__ = ("in_flight", "instance", "reported_in_flight", "url_prefix")
+    Times are seconds on the monotonic clock. ``slowness`` is the recent latency as a
+    multiple of what is typical in the service, ``failure_rate`` the recent share of
+    failures. ``limit`` bounds the requests in flight over all entries.
+    """
+
+    __slots__ = (
+        "attempts",
+        "draining_until",
+        "ejected_until",
+        "ejections",
+        "failure_rate",
+        "failures_in_row",
+        "in_flight",
+        "in_flight_at_report",
+        "instance",
+        "limit",
+        "limit_changed",
+        "near",
+        "ramp_started",
+        "report_trust",
+        "reported_at",
+        "reported_in_flight",
+        "slowness",
+        "url_prefix",
+    )
 
     def __init__(self, instance: Instance) -> None:
         self.instance = instance
         self.url_prefix = f"http://{instance.address}"
+        self.near = True
         self.in_flight = 0
+        self.attempts: list[AttemptStart] = []
         self.reported_in_flight = 0
+        self.reported_at = -math.inf
+        self.in_flight_at_report = 0
+        self.report_trust = 1.0
+        self.slowness = 1.0
+        self.failure_rate = 0.0
+        self.failures_in_row = 0
+        self.ejected_until = -math.inf
+        self.ejections = 0
+        self.draining_until = -math.inf
+        self.ramp_started = -math.inf
+        self.limit = 0.0
+        self.limit_changed = -math.inf
+
+    def start_attempt(self, now: float, class_name: str) -> None:
+        """Counts an attempt that is sent now."""
+        self.in_flight += 1
+        self.attempts.append(AttemptStart(now, class_name))
+
+    def end_attempt(self, now: float, latency_s: float) -> AttemptStart:
+        """Removes and returns the attempt whose age is closest to a latency."""
+        self.in_flight -= 1
+        started = now - latency_s
+        found = min(self.attempts, key=lambda attempt: abs(attempt.started - started))
+        self.attempts.remove(found)
+        return found
