Compare slowness within the service, ramp by share of choices, add tests

Free ports came from the kernel's range for outgoing connections, so large fleets lost processes.

Change: medians follow a moved latency within some twenty samples, slowness counts relative to the service's median, a cold or recovering upstream takes part in a growing share of choices. Two overdue requests eject before any answer. An entry below its share uses its share of each limit. The default chooser is least_estimated. Stand-ins record when a request arrived; ports lie below the ephemeral range.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -17,6 +17,7 @@
 from .cell_result import get_percentiles
 from .report import add_ratios, format_table, merge_seeds
 from .scenario import DEPLOYMENTS, SCENARIOS
+from .trace import write_traces
 
 if TYPE_CHECKING:
     from .scenario import Deployment
@@ -37,6 +38,7 @@
     parser.add_argument("--seconds", type=float, default=0.0)
     parser.add_argument("--scenarios", default="", help="names, with commas")
     parser.add_argument("--arms", default="", help="names, with commas")
+    parser.add_argument("--traces", default="", help="directory for traces")
     return parser.parse_args()
 
 
@@ -71,6 +73,10 @@
                 for arm in arms:
                     if arm.name in allowed:
                         bench.run_cell(scenario, arm, duration_s, seed)
+        if arguments.traces:
+            write_traces(arguments.traces, bench.cells)
+        if arguments.traces:
+            write_traces(arguments.traces, bench.cells)
         return {"rows": bench.collect(), "added_latency_ms": describe_added(added)}
 
 
--- a/measure/bench.py
+++ b/measure/bench.py
@@ -82,6 +82,7 @@
     scenario: Scenario
     arm: Arm
     seed: int
+    started: float
     window: tuple[float, float]
     results: list[dict[str, Any]]
 
@@ -114,7 +115,10 @@
         self._start_central()
         self._write_policies()
         self._check_processes()
-        self._fleet.wait_ready()
+        try:
+            self._fleet.wait_ready()
+        except TimeoutError as error:
+            raise StartError("not every process became ready") from error
         for name in self._servers:
             for arm in self._arms:
                 self._wait_served(name, arm)
@@ -133,7 +137,7 @@
             self._fleet.set_behaviour(server, **QUIET_BEHAVIOUR)
         results = [item for item in results if item["due"] >= start + WARM_UP_S]
         window = (start + duration_s * CREST_STARTS, start + duration_s * CREST_ENDS)
-        self.cells.append(Cell(scenario, arm, seed, window, results))
+        self.cells.append(Cell(scenario, arm, seed, start, window, results))
         time.sleep(SETTLE_S)
 
     def collect(self) -> list[dict[str, Any]]:
@@ -281,7 +285,8 @@
             probes += body["probes"]
             for ran in body["ran"]:
                 size = ran["path"].rpartition("/")[2]
-                entry = LedgerEntry(server, size, ran["started"], ran["finished"])
+                times = (ran.get("received", ran["started"]), ran["started"])
+                entry = LedgerEntry(server, size, *times, ran["finished"])
                 ledger.setdefault(ran["work"], []).append(entry)
         return ledger, probes
 
--- a/measure/cell_result.py
+++ b/measure/cell_result.py
@@ -9,6 +9,7 @@
 LOWEST_US = 1
 HIGHEST_US = 120_000_000
 SIGNIFICANT_DIGITS = 3
+TRANSIT_S = 0.025
 US_PER_S = 1_000_000
 US_PER_MS = 1_000
 HTTP_OK = 200
@@ -16,10 +17,11 @@
 
 
 class LedgerEntry(NamedTuple):
-    """A request that ran: where, from when until when."""
+    """A request that ran: where, when it came there, from when until when."""
 
     upstream: str
     size: str
+    received: float
     started: float
     finished: float | None
 
@@ -95,7 +97,8 @@
 ) -> float:
     """Returns the seconds that short work waited, weighted by slots with long work.
 
-    A request that waits on a server whose slots all run long work counts fully.
+    A request that waits on a server whose slots all run long work counts fully. Time
+    before the upstream counts above ``TRANSIT_S``, which covers sending.
     """
     long_runs: dict[str, list[LedgerEntry]] = {}
     for result in results:
@@ -108,9 +111,10 @@
             continue
         for entry in ledger.get(result["work"], ())[-1:]:
             runs = long_runs.get(entry.upstream, ())
-            total += sum(
-                overlap(run, result["due"], entry.started) / slots for run in runs
-            )
+            waited_before = entry.received - TRANSIT_S
+            for run in runs:
+                total += overlap(run, entry.received, entry.started) / slots
+                total += overlap(run, result["due"], waited_before) / slots
     return total
 
 
--- a/measure/load_generator.py
+++ b/measure/load_generator.py
@@ -11,11 +11,16 @@
 import pathlib
 import sys
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 import uvloop
 
+from verbenacross.platform.upstream_signals import read_load
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 CLIENT_MARGIN_S = 2.0
 
 
@@ -47,7 +52,7 @@
             "Request-Timeout-Ms": str(timeout_ms),
             **self._job["headers"],
         }
-        status, execution, whole = 0, "", False
+        status, execution, whole, signals = 0, "", False, {}
         urls = self._job["urls"]
         try:
             async with self._session.get(
@@ -58,6 +63,7 @@
                 body = await answer.read()
                 status = answer.status
                 execution = answer.headers.get("Execution-Status", "")
+                signals = read_signals(answer.headers)
                 whole = body.startswith(work.encode())
         except (aiohttp.ClientError, TimeoutError):
             pass
@@ -72,10 +78,21 @@
                 "status": status,
                 "execution": execution,
                 "whole": whole,
+                "entry": entry,
+                **signals,
             }
         )
 
 
+def read_signals(headers: Mapping[str, str]) -> dict[str, Any]:
+    """Returns the upstream that answered and its report, for traces."""
+    report = read_load(headers)
+    return {
+        "upstream": headers.get("X-Upstream", ""),
+        "reported": None if report is None else report.in_flight,
+    }
+
+
 async def run(job_path: str, result_path: str) -> None:
     """Runs one job."""
     job = json.loads(pathlib.Path(job_path).read_text())
--- a/src/verbenacross/entry/entry.py
+++ b/src/verbenacross/entry/entry.py
@@ -107,6 +107,7 @@
             "agent_connected": self.link.connected,
             "watermark": self.link.watermark,
             "in_flight": self._in_flight,
+            "services": {name: gate.describe() for name, gate in self._gates.items()},
             "policies": {
                 key: {
                     "revision": self.table.valid[key].revision,
--- a/src/verbenacross/limits/service_gate.py
+++ b/src/verbenacross/limits/service_gate.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from ..refusals import RefusedError, refuse_not_run
 from .request_queue import RequestQueue, Waiter
@@ -22,7 +22,7 @@
 MAX_PASSED_OVER = 8
 # Half of all requests take longer than the typical latency; one that has less than
 # this multiple of it left would often use a slot and still be late.
-LATENCY_MARGIN = 1.5
+LATENCY_MARGIN = 2.0
 
 
 class ServiceGate:
@@ -46,6 +46,15 @@
         """How many requests wait."""
         return len(self._queue)
 
+    def describe(self) -> dict[str, Any]:
+        """Returns the state of the gate as a JSON object."""
+        return {
+            "waiting": self.waiting,
+            "refused": self.refused,
+            "in_flight": self.router.in_flight,
+            "upstreams": self.router.describe(),
+        }
+
     async def acquire(
         self, context: RequestContext, excluded: Collection[str] = ()
     ) -> UpstreamState:
@@ -66,7 +75,7 @@
 
     def release(self, upstream: UpstreamState, outcome: AttemptOutcome) -> None:
         """Gives an upstream back with what the attempt showed."""
-        self.router.finish(upstream, outcome, self._policy, calm=not self._queue)
+        self.router.finish(upstream, outcome, self._policy)
         if self._queue:
             self.dispatch()
 
--- a/src/verbenacross/policy/policy.py
+++ b/src/verbenacross/policy/policy.py
@@ -59,7 +59,7 @@
     may have before one of another domain is preferred.
     """
 
-    chooser: Chooser = "two_choices_reported"
+    chooser: Chooser = "least_estimated"
     prefer_near: bool = True
     near_bonus_requests: Annotated[float, Field(ge=0, le=1_000)] = 1.0
     outlier_detection: bool = True
--- a/src/verbenacross/routing/class_latencies.py
+++ b/src/verbenacross/routing/class_latencies.py
@@ -2,44 +2,61 @@
 
 from __future__ import annotations
 
-CALM_STEP = 0.05
-WAITING_STEP = 0.002
-MEAN_WEIGHT = 0.02
+STEP = 0.05
+MAX_STEP = 0.5
+# Samples in a row on one side after which steps grow: the median has moved away.
+STEADY_RUN = 4
+MEAN_WEIGHT = 0.05
 MIN_LATENCY_S = 0.0005
 DEFAULT_LATENCY_S = 0.02
 
 
+class MedianTracker:
+    """Follows a median by steps, which grow while samples fall on the same side."""
+
+    def __init__(self, value: float) -> None:
+        self.value = value
+        self._run = 0
+
+    def add(self, sample: float) -> None:
+        """Takes a sample."""
+        above = sample > self.value
+        same_side = above == (self._run > 0)
+        length = abs(self._run) + 1 if same_side else 1
+        self._run = length if above else -length
+        step = 1 + min(MAX_STEP, STEP * max(1, length - STEADY_RUN))
+        self.value = self.value * step if above else self.value / step
+
+
 class ClassLatencies:
-    """Median latency of each class, tracked by steps, and the mean over all.
+    """Median latency of each class over all upstreams, and the mean over all classes.
 
-    The median is taken over all upstreams, so a slow one does not shift it. It follows
-    slowly while requests wait in the entry: otherwise latency under overload would
-    become the norm and slowness could no longer be told.
+    A slow upstream shifts a median little; a change of the work itself shifts it within
+    some twenty samples.
     """
 
     def __init__(self) -> None:
         self.mean_s = DEFAULT_LATENCY_S
-        self._medians: dict[str, float] = {}
+        self._medians: dict[str, MedianTracker] = {}
 
-    def add(self, class_name: str, latency_s: float, calm: bool) -> None:
+    def add(self, class_name: str, latency_s: float) -> None:
         """Takes the latency of an answered request, in seconds."""
         latency_s = max(latency_s, MIN_LATENCY_S)
         median = self._medians.get(class_name)
         if median is None:
-            self._medians[class_name] = latency_s
-            self.mean_s = latency_s if len(self._medians) == 1 else self.mean_s
+            if not self._medians:
+                self.mean_s = latency_s
+            self._medians[class_name] = MedianTracker(latency_s)
             return
-        step = 1 + (CALM_STEP if calm else WAITING_STEP)
-        self._medians[class_name] = (
-            median * step if latency_s > median else median / step
-        )
+        median.add(latency_s)
         self.mean_s += MEAN_WEIGHT * (latency_s - self.mean_s)
 
     def get_typical_s(self, class_name: str) -> float:
         """Returns the median latency of a class, in seconds."""
-        return self._medians.get(class_name, self.mean_s)
+        median = self._medians.get(class_name)
+        return self.mean_s if median is None else median.value
 
     def get_ratio(self, class_name: str, latency_s: float) -> float:
         """Returns a latency as a multiple of the typical one of its class."""
         median = self._medians.get(class_name)
-        return 1.0 if median is None else latency_s / median
+        return 1.0 if median is None else latency_s / median.value
--- a/src/verbenacross/routing/outlier_detector.py
+++ b/src/verbenacross/routing/outlier_detector.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from .attempt_outcome import AttemptOutcome
     from .class_latencies import ClassLatencies
     from .upstream_state import UpstreamState
@@ -35,6 +37,17 @@
     def __init__(self, latencies: ClassLatencies, generator: random.Random) -> None:
         self._latencies = latencies
         self._generator = generator
+        self._common_slowness = 1.0
+
+    def compare(self, states: Collection[UpstreamState]) -> None:
+        """Takes the median slowness of a service: what is common is no outlier."""
+        if states:
+            ordered = sorted(state.slowness for state in states)
+            self._common_slowness = max(1.0, ordered[len(ordered) // 2])
+
+    def get_relative(self, slowness: float) -> float:
+        """Returns slowness as a multiple of what is common in the service."""
+        return slowness / self._common_slowness
 
     def note_outcome(
         self, state: UpstreamState, outcome: AttemptOutcome, ratio: float, now: float
@@ -54,6 +67,27 @@
         self.eject(state, now)
         return True
 
+    def check_in_flight(self, state: UpstreamState, now: float) -> bool:
+        """Ejects an upstream that leaves several requests unanswered for long.
+
+        Two are needed, since one may be a request with much work; while the upstream
+        recovers one is enough.
+        """
+        if now < state.ejected_until:
+            return False
+        overdue = sum(
+            self.get_relative(
+                self._latencies.get_ratio(attempt.class_name, now - attempt.started)
+            )
+            >= SLOWNESS_EJECTED
+            for attempt in state.attempts
+            if attempt.started > state.ejected_until
+        )
+        if overdue < 2 and not (overdue and self._is_recovering(state, now)):
+            return False
+        self.eject(state, now)
+        return True
+
     def eject(self, state: UpstreamState, now: float) -> None:
         """Ejects an upstream; entries spread the ends of their ejections at random."""
         duration_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**state.ejections)
@@ -75,6 +109,7 @@
             age_s = now - attempt.started
             slowness = max(slowness, self._latencies.get_ratio(attempt[1], age_s))
         penalty = 1 + FAILURE_PENALTY * state.failure_rate
+        slowness = self.get_relative(slowness)
         if slowness > SLOWNESS_TOLERATED:
             penalty *= (slowness / SLOWNESS_TOLERATED) ** 2
         return penalty
@@ -94,7 +129,10 @@
     def _is_outlier(self, state: UpstreamState, ratio: float, now: float) -> bool:
         if state.failures_in_row >= FAILURES_EJECTED:
             return True
-        if state.slowness >= SLOWNESS_EJECTED:
+        if self.get_relative(state.slowness) >= SLOWNESS_EJECTED:
             return True
-        recovering = state.ejections > 0 and now < state.ejected_until + RECOVERY_S
-        return recovering and (state.failures_in_row > 0 or ratio >= SLOWNESS_EJECTED)
+        bad = state.failures_in_row > 0 or ratio >= SLOWNESS_EJECTED
+        return bad and self._is_recovering(state, now)
+
+    def _is_recovering(self, state: UpstreamState, now: float) -> bool:
+        return state.ejections > 0 and now < state.ejected_until + RECOVERY_S
--- a/src/verbenacross/routing/service_router.py
+++ b/src/verbenacross/routing/service_router.py
@@ -5,7 +5,9 @@
 import math
 import random
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from reactivex.subject import Subject
 
 from .choosers import Chooser, create_chooser, pick_upstream
 from .class_latencies import ClassLatencies
@@ -36,8 +38,18 @@
 FAIR_SHARE_HEADROOM = 1.1
 
 
+class Ejection(NamedTuple):
+    """An upstream that this entry gives no work for ``lifetime_ms`` from now."""
+
+    upstream: str
+    lifetime_ms: int
+
+
 class ServiceRouter:
-    """Chooses an upstream of one service and learns from each outcome."""
+    """Chooses an upstream of one service and learns from each outcome.
+
+    ``ejections`` emits each ejection by this entry, for other instances.
+    """
 
     def __init__(
         self,
@@ -49,6 +61,7 @@
         self.clock = clock
         self.latencies = ClassLatencies()
         self.in_flight = 0
+        self.ejections: Subject[Ejection] = Subject()
         self._generator = generator
         self._failure_domain = failure_domain
         self._knowledge: UpstreamKnowledge = knowledge or NoKnowledge()
@@ -114,17 +127,15 @@
         candidates = self._usable
         pool = self._subset.pool if self._subset else policy.upstreams.connections
         scores = RouterScores(self, policy, now)
-        if policy.limits.adaptive_concurrency and not self._is_below_share(policy):
-            candidates = [
-                state
-                for state in candidates
-                if scores.estimate(state) + 1 <= self._get_limit(state, policy)
-            ]
+        if policy.limits.adaptive_concurrency:
+            candidates = self._find_room(policy, scores)
         candidates = [
             state
             for state in candidates
             if state.in_flight < pool and state.instance.id not in excluded
         ]
+        if policy.routing.outlier_detection:
+            candidates = self._apply_ramps(candidates, policy, now)
         if not candidates:
             return None
         chooser = self._get_chooser(policy)
@@ -140,9 +151,8 @@
         state: UpstreamState,
         outcome: AttemptOutcome,
         policy: Policy | None,
-        calm: bool,
     ) -> None:
-        """Takes the outcome of an attempt; ``calm`` means that no request waits."""
+        """Takes the outcome of an attempt."""
         now = self.clock()
         self._take_announcements(state, outcome, now)
         self.in_flight -= 1
@@ -157,10 +167,11 @@
             return
         ratio = self.latencies.get_ratio(attempt.class_name, latency_s)
         if not outcome.failed:
-            self.latencies.add(attempt.class_name, latency_s, calm)
+            self.latencies.add(attempt.class_name, latency_s)
             self._estimator.horizon_s = self.latencies.mean_s
-        if self._detector.note_outcome(state, outcome, ratio, now):
-            self._usable_until = -math.inf
+        detects = policy is not None and policy.routing.outlier_detection
+        if detects and self._detector.note_outcome(state, outcome, ratio, now):
+            self._announce_ejection(state, now)
         if outcome.load is not None:
             self._estimator.judge_report(state, slots)
         if not outcome.failed:
@@ -172,11 +183,29 @@
         state.end_attempt(self.clock(), 0.0)
 
     def get_penalty(self, state: UpstreamState, policy: Policy, now: float) -> float:
-        """Returns the factor by which slowness, failures and a ramp add to a score."""
+        """Returns the factor by which slowness and failures add to a score."""
         if not policy.routing.outlier_detection:
             return 1.0
-        penalty = self._detector.get_penalty(state, now)
-        return penalty / self._get_ramp(state, policy, now)
+        return self._detector.get_penalty(state, now)
+
+    def describe(self) -> dict[str, Any]:
+        """Returns what is known of each upstream as a JSON object."""
+        now = self.clock()
+        return {
+            state.instance.id: {
+                "in_flight": state.in_flight,
+                "estimated_in_flight": round(self.estimate(state, now), 2),
+                "limit": round(state.limit, 2),
+                "slowness": round(state.slowness, 2),
+                "failure_rate": round(state.failure_rate, 2),
+                "report_trust": round(state.report_trust, 2),
+                "ejected_ms": max(0, int((state.ejected_until - now) * MS_PER_S))
+                if state.ejections
+                else 0,
+                "ejections": state.ejections,
+            }
+            for state in self._states.values()
+        }
 
     def estimate(self, state: UpstreamState, now: float) -> float:
         """Returns the requests in flight on an upstream over all entries."""
@@ -188,6 +217,11 @@
             state.instance.id
         )
 
+    def _announce_ejection(self, state: UpstreamState, now: float) -> None:
+        self._usable_until = -math.inf
+        lifetime_ms = int((state.ejected_until - now) * MS_PER_S)
+        self.ejections.on_next(Ejection(state.instance.id, lifetime_ms))
+
     def _get_chooser(self, policy: Policy) -> Chooser:
         name = policy.routing.chooser
         chooser = self._choosers.get(name)
@@ -208,6 +242,10 @@
             and (subset is None or state.instance.id in subset.upstreams)
         ]
         for state in live:
+            if policy.routing.outlier_detection and self._detector.check_in_flight(
+                state, now
+            ):
+                self._announce_ejection(state, now)
             if state.ramp_started < 0 and self._knowledge.is_cold(state.instance.id):
                 state.ramp_started = now
             self._detector.decay(state, now - self._refreshed)
@@ -219,12 +257,13 @@
         self._usable_policy = policy
         self._usable_until = now + REFRESH_INTERVAL_S
         self._refreshed = now
+        self._detector.compare(live)
 
     def _remove_ejected(
         self, live: list[UpstreamState], policy: Policy, now: float
     ) -> list[UpstreamState]:
         kept = [state for state in live if not self.is_ejected(state, now)]
-        most = policy.upstreams.max_ejected_share * len(live)
+        most = policy.upstreams.max_ejected_share * len(self._states)
         return kept if len(live) - len(kept) <= most else live
 
     def _update_subset(self, policy: Policy) -> None:
@@ -240,17 +279,30 @@
             self._subset = select_subset(live, self._peers, self._own, connections)
             self._subset_connections = connections
 
-    def _is_below_share(self, policy: Policy) -> bool:
-        """Returns whether this entry uses less than its equal share of all slots.
+    def _find_room(self, policy: Policy, scores: RouterScores) -> list[UpstreamState]:
+        """Returns the usable upstreams that are below their limits.
 
-        Below its share an entry sends even where it believes there is no room, so that
-        wrong estimates never leave slots idle while requests wait.
+        While this entry uses less than its equal share of all slots, its equal share of
+        each upstream is open as well, so that wrong estimates never leave slots idle
+        while requests wait.
         """
+        peers = max(1, len(self._peers))
+        below_share = self.in_flight < self._count_share(policy, peers)
+        room = []
+        for state in self._usable:
+            limit = self._get_limit(state, policy)
+            if scores.estimate(state) + 1 <= limit or (
+                below_share and state.in_flight < math.ceil(limit / peers)
+            ):
+                room.append(state)
+        return room
+
+    def _count_share(self, policy: Policy, peers: int) -> int:
+        """Returns this entry's equal share of all slots of the service."""
         slots: float = policy.upstreams.slots * len(self._usable)
         if self._subset is not None and self._states:
             slots = slots * len(self._states) / max(1, len(self._subset.upstreams))
-        share = slots * FAIR_SHARE_HEADROOM / max(1, len(self._peers))
-        return self.in_flight < math.ceil(share)
+        return math.ceil(slots * FAIR_SHARE_HEADROOM / peers)
 
     def _get_limit(self, state: UpstreamState, policy: Policy) -> float:
         if not state.limit:
@@ -258,19 +310,38 @@
         return state.limit
 
     def _adapt_limit(self, state: UpstreamState, slots: int, now: float) -> None:
+        """Moves the limit of an upstream that is slower than others, or as fast.
+
+        When all become slow together, limits stay: lower ones would leave slots idle.
+        """
         if not state.limit:
             state.limit = slots * LIMIT_HEADROOM
-        if state.slowness > SLOWNESS_SHRINKS:
+        slowness = self._detector.get_relative(state.slowness)
+        if slowness > SLOWNESS_SHRINKS:
             if now - state.limit_changed < self.latencies.mean_s:
                 return
             state.limit_changed = now
             state.limit = max(slots * MIN_LIMIT_SHARE, state.limit * LIMIT_DECREASE)
             return
         in_use = self.estimate(state, now) + 1 >= state.limit
-        if in_use and state.slowness < SLOWNESS_GROWS:
+        if in_use and slowness < SLOWNESS_GROWS:
             bound = slots * MAX_LIMIT_SHARE
             state.limit = min(bound, state.limit + LIMIT_INCREASE)
 
+    def _apply_ramps(
+        self, candidates: list[UpstreamState], policy: Policy, now: float
+    ) -> list[UpstreamState]:
+        """Leaves out cold and recovering upstreams at random, by their share of load.
+
+        When none other is left, they are used.
+        """
+        kept = []
+        for state in candidates:
+            ramp = self._get_ramp(state, policy, now)
+            if ramp == 1.0 or self._generator.random() < ramp:
+                kept.append(state)
+        return kept or candidates
+
     def _get_ramp(self, state: UpstreamState, policy: Policy, now: float) -> float:
         """Returns the share of normal load, 0.1 to 1, of a cold upstream."""
         ramp = self._detector.get_recovery(state, now)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -20,6 +21,12 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.02
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+# Tests seed the module-wide generator, which would give equal ports to two workers.
+GENERATOR = random.SystemRandom()
+
+handed_out: set[int] = set()
 
 
 class Ports(NamedTuple):
@@ -33,12 +40,28 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Returns ports that were free; all differ."""
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in sockets:
-            probe.bind((HOST, 0))
-        return [int(probe.getsockname()[1]) for probe in sockets]
+    """Returns ports that are free; none is returned twice by one process.
+
+    They lie below the range from which the kernel takes the local ports of outgoing
+    connections, which otherwise occupy a port before its process has started.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = GENERATOR.randrange(FIRST_PORT, LAST_PORT)
+        if port not in handed_out and is_free(port):
+            handed_out.add(port)
+            found.append(port)
+    return found
+
+
+def is_free(port: int) -> bool:
+    """Returns whether a process can listen on a port now."""
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 def call(
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -111,9 +111,10 @@
         if shed_above is not None and self.in_flight >= self.slots + shed_above:
             return self.refuse(request_id)
         self.in_flight += 1
+        arrived = time.time()
         try:
             async with self.semaphore:
-                return await self.work(request, request_id)
+                return await self.work(request, request_id, arrived)
         finally:
             self.in_flight -= 1
 
@@ -137,9 +138,12 @@
         self.ledger.append(entry)
         return entry
 
-    async def work(self, request: web.Request, request_id: str) -> web.StreamResponse:
+    async def work(
+        self, request: web.Request, request_id: str, arrived: float
+    ) -> web.StreamResponse:
         """Runs the work of a request and answers it."""
         entry = self.note_start(request, request_id)
+        entry["received"] = arrived
         received = 0
         async for chunk in request.content.iter_any():
             received += len(chunk)
--- /dev/null
+++ b/tests/limits/test_gate_machine.py
@@ -0,0 +1,131 @@
+"""State machine for the gate: no leaked slots or waiters, no grants above limits."""
+
+import asyncio
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from tests.routing.builders import (
+    Clock,
+    build_context,
+    build_instance,
+    build_policy,
+    build_router,
+)
+from verbenacross.limits import ServiceGate
+from verbenacross.refusals import RefusedError
+from verbenacross.routing import AttemptOutcome
+
+SLOTS = 2
+UPSTREAMS = 3
+QUEUE_SIZE = 4
+CONNECTIONS = 12
+PEERS = 3
+
+
+class GateMachine(RuleBasedStateMachine):
+    @initialize(chooser=st.sampled_from(["least_estimated", "two_choices_reported"]))
+    def start(self, chooser):
+        self.loop = asyncio.new_event_loop()
+        self.clock = Clock()
+        self.policy = build_policy(
+            upstreams={"slots": SLOTS, "connections": CONNECTIONS},
+            limits={"queue_size": QUEUE_SIZE},
+            chooser=chooser,
+        )
+        self.router = build_router(self.clock, UPSTREAMS, PEERS)
+        self.gate = ServiceGate("s", self.router)
+        self.tasks = []
+        self.held = []
+
+    def teardown(self):
+        if not hasattr(self, "loop"):
+            return
+        for task in self.tasks:
+            task.cancel()
+        self.settle()
+        while self.held:
+            self.gate.release(self.held.pop(), AttemptOutcome(0.01))
+        self.settle()
+        assert self.gate.waiting == 0
+        assert self.router.in_flight == 0
+        assert all(not state.attempts for state in self.router.get_states())
+        if self.gate._recheck is not None:
+            self.gate._recheck.cancel()
+        self.loop.close()
+
+    def settle(self):
+        """Runs the loop and takes the results of requests that no longer wait."""
+        for _ in range(3):
+            self.loop.run_until_complete(asyncio.sleep(0))
+        for task in [task for task in self.tasks if task.done()]:
+            self.tasks.remove(task)
+            if task.cancelled():
+                continue
+            error = task.exception()
+            if error is None:
+                self.held.append(task.result())
+            else:
+                assert isinstance(error, RefusedError)
+
+    @rule(
+        timeout_s=st.sampled_from([0.001, 0.05, 1.0, 60.0]),
+        priority=st.integers(0, 9),
+        excluded=st.sets(st.sampled_from(["u0", "u1", "u2"])),
+    )
+    def request(self, timeout_s, priority, excluded):
+        deadline = self.clock.now + timeout_s
+        context = build_context(self.policy, deadline, priority=priority)
+        acquire = self.gate.acquire(context, excluded)
+        self.tasks.append(self.loop.create_task(acquire))
+        self.settle()
+
+    @rule(
+        index=st.integers(0, 100),
+        latency_s=st.sampled_from([0.001, 0.02, 0.3]),
+        failed=st.booleans(),
+        cancelled=st.booleans(),
+        leaves=st.none() | st.integers(0, 100),
+    )
+    def release(self, index, latency_s, failed, cancelled, leaves):
+        if not self.held:
+            return
+        state = self.held.pop(index % len(self.held))
+        self.clock.now += latency_s
+        outcome = AttemptOutcome(latency_s, failed=failed, cancelled=cancelled)
+        self.gate.release(state, outcome)
+        if leaves is not None and self.tasks:
+            self.tasks[leaves % len(self.tasks)].cancel()
+        self.settle()
+
+    @rule(index=st.integers(0, 100))
+    def cancel(self, index):
+        if self.tasks:
+            self.tasks[index % len(self.tasks)].cancel()
+            self.settle()
+
+    @rule(kept=st.sets(st.integers(0, UPSTREAMS - 1), min_size=1))
+    def change_instances(self, kept):
+        self.router.set_instances(build_instance(index) for index in sorted(kept))
+        self.gate.dispatch_soon = self.loop.call_soon(self.gate.dispatch)
+        self.settle()
+
+    @invariant()
+    def holds(self):
+        if not hasattr(self, "loop"):
+            return
+        assert self.router.in_flight == len(self.held)
+        assert self.gate.waiting == len(self.tasks) <= QUEUE_SIZE
+        for state in self.router.get_states():
+            held = sum(item is state for item in self.held)
+            assert state.in_flight == held == len(state.attempts)
+            assert state.in_flight <= CONNECTIONS // PEERS
+        if self.gate.waiting and not self.held:
+            raise AssertionError("requests wait while nothing is in flight")
+
+
+GateMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None
+)
+TestGateMachine = GateMachine.TestCase
--- /dev/null
+++ b/tests/limits/test_service_gate.py
@@ -0,0 +1,207 @@
+import asyncio
+
+import pytest
+
+from tests.routing.builders import (
+    Clock,
+    build_context,
+    build_policy,
+    build_router,
+)
+from verbenacross.limits import ServiceGate
+from verbenacross.limits.service_gate import MAX_PASSED_OVER
+from verbenacross.refusals import Execution, RefusedError
+from verbenacross.routing import AttemptOutcome
+
+TYPICAL_S = 0.1
+
+
+def build_gate(clock, upstreams=1, slots=2, queue_size=512, **options):
+    policy = build_policy(
+        upstreams={"slots": slots}, limits={"queue_size": queue_size}, **options
+    )
+    router = build_router(clock, upstreams=upstreams)
+    router.latencies.add("short", TYPICAL_S)
+    return ServiceGate("s", router), policy
+
+
+async def fill(gate, context):
+    """Takes every slot that the gate grants at once."""
+    taken = []
+    while True:
+        task = asyncio.ensure_future(gate.acquire(context))
+        await asyncio.sleep(0)
+        if not task.done():
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return taken
+        taken.append(task.result())
+
+
+async def start_waiting(gate, *contexts):
+    tasks = [asyncio.ensure_future(gate.acquire(context)) for context in contexts]
+    await asyncio.sleep(0)
+    return tasks
+
+
+async def get_refusal(task):
+    with pytest.raises(RefusedError) as caught:
+        await task
+    return caught.value.refusal
+
+
+def answer(latency_s=TYPICAL_S):
+    return AttemptOutcome(latency_s)
+
+
+def test_acquire_does_not_wait_while_there_is_room():
+    """Guards the fast path: no suspension, so no event loop is needed."""
+    clock = Clock()
+    gate, policy = build_gate(clock)
+    coroutine = gate.acquire(build_context(policy))
+    with pytest.raises(StopIteration) as finished:
+        coroutine.send(None)
+    assert finished.value.value.instance.id == "u0"
+
+
+async def test_waiting_happens_in_the_entry():
+    """Guards against queues on upstreams, where no other choice is possible."""
+    clock = Clock()
+    gate, policy = build_gate(clock, upstreams=3, slots=2)
+    taken = await fill(gate, build_context(policy))
+    assert 6 <= len(taken) <= 7
+    (task,) = await start_waiting(gate, build_context(policy))
+    clock.now += TYPICAL_S
+    gate.release(taken[0], answer())
+    gate.release(taken[1], answer())
+    assert (await task).instance.id in {"u0", "u1", "u2"}
+
+
+async def test_priority_then_deadline_decide():
+    """Guards the order of the queue."""
+    clock = Clock()
+    gate, policy = build_gate(clock)
+    taken = await fill(gate, build_context(policy))
+    order = []
+    requests = {
+        "late": build_context(policy, clock.now + 30),
+        "early": build_context(policy, clock.now + 20),
+        "important": build_context(policy, clock.now + 40, priority=9),
+    }
+    tasks = await start_waiting(gate, *requests.values())
+    for name, task in zip(requests, tasks, strict=True):
+        task.add_done_callback(lambda _, name=name: order.append(name))
+    for _ in range(3):
+        clock.now += TYPICAL_S
+        gate.release(taken.pop(), answer())
+        await asyncio.sleep(0)
+        done = [task for task in tasks if task.done()]
+        taken += [task.result() for task in done[len(order) :]]
+        await asyncio.sleep(0)
+    assert order == ["important", "early", "late"]
+
+
+async def test_unreachable_deadline_is_refused_at_once():
+    """Guards against waiting for an answer that would come too late."""
+    clock = Clock()
+    gate, policy = build_gate(clock)
+    await fill(gate, build_context(policy))
+    (task,) = await start_waiting(gate, build_context(policy, clock.now + 0.05))
+    refusal = await get_refusal(task)
+    assert refusal.status == 503
+    assert refusal.execution is Execution.NOT_RUN
+    assert refusal.retry_after_s >= 1
+    assert gate.waiting == 0
+
+
+async def test_deadline_that_passes_while_waiting_is_refused():
+    """Guards requests deep in the queue, which no release reaches."""
+    clock = Clock()
+    gate, policy = build_gate(clock)
+    await fill(gate, build_context(policy))
+    ahead = [build_context(policy, clock.now + 60, priority=9)] * MAX_PASSED_OVER
+    waiting = await start_waiting(gate, *ahead)
+    (task,) = await start_waiting(gate, build_context(policy, clock.now + 5))
+    clock.now += 5
+    refusal = await asyncio.wait_for(get_refusal(task), 5)
+    assert refusal.problem == "deadline-unreachable"
+    assert not any(other.done() for other in waiting)
+
+
+async def test_full_queue_sheds_what_would_be_served_last():
+    """Guards shedding at the crest: important work displaces other work."""
+    clock = Clock()
+    gate, policy = build_gate(clock, queue_size=1)
+    await fill(gate, build_context(policy))
+    first, second = await start_waiting(
+        gate, build_context(policy, priority=1), build_context(policy, priority=9)
+    )
+    refusal = await get_refusal(first)
+    assert refusal.problem == "queue-full"
+    assert refusal.execution is Execution.NOT_RUN
+    assert not second.done()
+
+
+async def test_slot_granted_to_a_caller_that_left_is_given_on():
+    """Guards against a slot that leaks when a grant and a cancellation meet."""
+    clock = Clock()
+    gate, policy = build_gate(clock)
+    taken = await fill(gate, build_context(policy))
+    left, next_one = await start_waiting(
+        gate, build_context(policy, clock.now + 20), build_context(policy)
+    )
+    clock.now += TYPICAL_S
+    gate.release(taken.pop(), answer())
+    left.cancel()
+    await asyncio.gather(left, return_exceptions=True)
+    assert (await asyncio.wait_for(next_one, 5)).instance.id == "u0"
+
+
+async def test_retry_without_an_upstream_does_not_hold_up_others():
+    """Guards the queue against a head whose upstreams are all excluded."""
+    clock = Clock()
+    gate, policy = build_gate(clock, upstreams=2)
+    taken = await fill(gate, build_context(policy))
+    retry = asyncio.ensure_future(gate.acquire(build_context(policy, 2e3), {"u0"}))
+    await asyncio.sleep(0)
+    (other,) = await start_waiting(gate, build_context(policy, 3e3))
+    clock.now += TYPICAL_S
+    for state in [state for state in taken if state.instance.id == "u0"]:
+        gate.release(state, answer())
+    assert (await asyncio.wait_for(other, 5)).instance.id == "u0"
+    assert not retry.done()
+    retry.cancel()
+
+
+async def test_no_upstream_is_refused():
+    """Guards against waiting for an upstream that does not exist."""
+    clock = Clock()
+    gate, policy = build_gate(clock)
+    refusal = await get_refusal(gate.acquire(build_context(policy), {"u0"}))
+    assert refusal.problem == "no-upstream"
+
+
+async def test_limit_falls_for_a_slowed_upstream_and_returns():
+    """Guards adaptive concurrency: down with slowness, back up afterwards."""
+    clock = Clock()
+    gate, policy = build_gate(clock, upstreams=2, slots=6)
+    context = build_context(policy)
+    (state,) = [item for item in gate.router.get_states() if item.instance.id == "u0"]
+
+    def serve(latency_s, count, at_once):
+        for _ in range(count):
+            for _ in range(at_once):
+                gate.router.start(state, context)
+            clock.now += latency_s
+            for _ in range(at_once):
+                gate.release(state, answer(latency_s))
+
+    gate._policy = policy
+    serve(TYPICAL_S, 5, 1)
+    before = state.limit
+    serve(TYPICAL_S * 2, 20, 1)
+    lowered = state.limit
+    serve(TYPICAL_S, 60, 6)
+    assert before == 6
+    assert lowered <= 4
+    assert state.limit >= 6
