Merge the lagging instance list between agents

Cause: every agent polled the list by itself and sent it to entries in one message, which at 25,000 instances is above the message limit, and readers with different lags would have undone each other's changes.

The directory goes to entries in parts.

--- a/src/verbenacross/protocol/messages.py
+++ b/src/verbenacross/protocol/messages.py
@@ -95,16 +95,36 @@
     updates: tuple[MemberUpdate, ...]
 
 
+class DirectoryEntry(NamedTuple):
+    """State of one id of the instance list; ``instance`` is ``None`` when removed.
+
+    ``version`` is a Lamport clock that the reader ``origin`` advanced.
+    """
+
+    id: Identifier
+    version: Annotated[int, Field(ge=0)]
+    origin: str
+    instance: Instance | None
+
+
 class DirectoryUpdates(NamedTuple):
     """Instances of the platform's list that changed, and ids that went from it.
 
-    ``version`` counts the changes that the origin's reader has seen.
+    An agent sends ``changed`` and ``removed`` to its entries; a ``complete`` state
+    consists of ``parts`` messages. Agents exchange ``entries``. ``digests`` holds one
+    digest of everything the sender knows, or one for each bucket of ids; the answer to
+    the latter contains whole ``buckets``.
     """
 
     version: Annotated[int, Field(ge=0)]
     complete: bool
     changed: tuple[Instance, ...]
     removed: tuple[str, ...]
+    part: Annotated[int, Field(ge=0)] = 0
+    parts: Annotated[int, Field(ge=1)] = 1
+    entries: tuple[DirectoryEntry, ...] = ()
+    digests: tuple[Annotated[int, Field(ge=0)], ...] = ()
+    buckets: tuple[Annotated[int, Field(ge=0)], ...] = ()
 
 
 class Observation(NamedTuple):
@@ -141,20 +161,33 @@
 
 
 class PermitRequest(NamedTuple):
-    """Asks for a slot for long work on an upstream of a service."""
+    """Asks for a slot for long work on an upstream of a service.
+
+    An entry repeats the request with a higher ``sequence`` until it is granted; the
+    request is forgotten ``wait_ms`` after its last repetition.
+    """
 
     permit: Identifier
     service: Identifier
     wait_ms: Annotated[int, Field(ge=0)]
     excluded: tuple[Identifier, ...] = ()
+    sequence: Annotated[int, Field(ge=0)] = 0
 
 
 class PermitGrant(NamedTuple):
-    """Gives a slot of an upstream for long work; empty ``upstream`` means refused."""
+    """Gives a slot of an upstream for long work; empty ``upstream`` means refused.
+
+    ``sequence`` is that of the last repetition of the request that arrived before the
+    grant, so the lifetime began after that repetition was sent. A refusal may name the
+    agent that coordinates the ``service``.
+    """
 
     permit: Identifier
     upstream: str
     lifetime_ms: Annotated[int, Field(ge=0)]
+    sequence: Annotated[int, Field(ge=0)] = 0
+    service: str = ""
+    coordinator: str = ""
 
 
 class PermitRelease(NamedTuple):
--- /dev/null
+++ b/src/verbenacross/upstreams/directory_replica.py
@@ -0,0 +1,184 @@
+"""Versioned copy of the instance list that agents merge with each other."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+from typing import TYPE_CHECKING
+
+from ..protocol.messages import DirectoryEntry, DirectoryUpdates
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Iterable, Iterator
+
+    from ..platform.instance_list import Instance
+    from .upstream_directory import UpstreamDirectory
+
+BUCKETS = 256
+MAX_PART_ENTRIES = 1_000
+MAX_TOMBSTONES = 5_000
+TOMBSTONE_LIFETIME_S = 600.0
+# Readers of the list may lag each other by this time, see ``ListReader``.
+RECENT_CHANGE_S = 60.0
+
+
+class DirectoryReplica:
+    """Versioned entries of the instance list, merged into an ``UpstreamDirectory``.
+
+    Each id keeps its greatest entry, so late, duplicated and reordered entries have no
+    effect. Removed ids stay as tombstones for ``TOMBSTONE_LIFETIME_S``. Digests cover
+    the ids that are not removed: if they covered tombstones, two agents that expire
+    one at different times would return it to each other for ever.
+    """
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.directory = directory
+        self.version = 0
+        self._clock = clock
+        self._entries: dict[str, DirectoryEntry] = {}
+        self._by_bucket: list[set[str]] = [set() for _ in range(BUCKETS)]
+        self._digests = [0] * BUCKETS
+        self._tombstones: dict[str, float] = {}
+        self._changed_at: dict[str, float] = {}
+
+    def get(self, identifier: str) -> DirectoryEntry | None:
+        """Returns the entry of an id, a tombstone included."""
+        return self._entries.get(identifier)
+
+    def is_empty(self) -> bool:
+        """Returns whether nothing has been learned."""
+        return not self._entries
+
+    def get_changed_at(self, identifier: str) -> float | None:
+        """Returns when a known entry's content changed, ``None`` if not recently."""
+        changed_at = self._changed_at.get(identifier)
+        if changed_at is None or self._clock() - changed_at > RECENT_CHANGE_S:
+            return None
+        return changed_at
+
+    def propose(
+        self, origin: str, changes: Iterable[tuple[str, Instance | None]]
+    ) -> tuple[DirectoryEntry, ...]:
+        """Takes a reader's changes under a new version and returns the entries."""
+        version = self.version + 1
+        entries = [DirectoryEntry(key, version, origin, item) for key, item in changes]
+        return self.merge(entries)
+
+    def merge(self, entries: Iterable[DirectoryEntry]) -> tuple[DirectoryEntry, ...]:
+        """Takes the entries that are newer than those known and returns them."""
+        taken: dict[str, DirectoryEntry] = {}
+        for entry in entries:
+            known = self._entries.get(entry.id)
+            if known is None or get_rank(known) < get_rank(entry):
+                self._put(entry, known)
+                taken[entry.id] = entry
+        if taken:
+            self._purge()
+            self._publish(taken.values())
+        return tuple(taken.values())
+
+    def compute_digest(self) -> int:
+        """Returns the digest of all entries that are not removed."""
+        text = b"".join(digest.to_bytes(8, "big") for digest in self._digests)
+        return hash_bytes(text)
+
+    def get_bucket_digests(self) -> tuple[int, ...]:
+        """Returns the digest of each bucket."""
+        return tuple(self._digests)
+
+    def find_differing(self, digests: Collection[int]) -> tuple[int, ...]:
+        """Returns the buckets whose digest differs from another replica's."""
+        if len(digests) != BUCKETS:
+            return ()
+        pairs = zip(self._digests, digests, strict=True)
+        return tuple(index for index, (own, other) in enumerate(pairs) if own != other)
+
+    def get_bucket(self, bucket: int) -> tuple[DirectoryEntry, ...]:
+        """Returns the entries of a bucket, tombstones included."""
+        return tuple(self._entries[key] for key in sorted(self._by_bucket[bucket]))
+
+    def _put(self, entry: DirectoryEntry, known: DirectoryEntry | None) -> None:
+        bucket = find_bucket(entry.id)
+        if known is not None:
+            self._digests[bucket] ^= hash_entry(known)
+        self._digests[bucket] ^= hash_entry(entry)
+        self._by_bucket[bucket].add(entry.id)
+        self._entries[entry.id] = entry
+        self.version = max(self.version, entry.version)
+        now = self._clock()
+        if known is not None and known.instance != entry.instance:
+            self._changed_at[entry.id] = now
+        self._tombstones.pop(entry.id, None)
+        if entry.instance is None:
+            self._tombstones[entry.id] = now
+
+    def _publish(self, entries: Collection[DirectoryEntry]) -> None:
+        changed = []
+        removed = []
+        for entry in entries:
+            if entry.instance is None:
+                removed.append(entry.id)
+            elif self.directory.instances.get(entry.id) != entry.instance:
+                changed.append(entry.instance)
+        removed = [key for key in removed if key in self.directory.instances]
+        if changed or removed:
+            self.directory.apply(
+                DirectoryUpdates(self.version, False, tuple(changed), tuple(removed))
+            )
+
+    def _purge(self) -> None:
+        now = self._clock()
+        for key, since in list(self._tombstones.items()):
+            excess = len(self._tombstones) > MAX_TOMBSTONES
+            if not excess and now - since <= TOMBSTONE_LIFETIME_S:
+                break
+            del self._tombstones[key]
+            del self._entries[key]
+            self._by_bucket[find_bucket(key)].discard(key)
+        for key, since in list(self._changed_at.items()):
+            if now - since <= RECENT_CHANGE_S:
+                break
+            del self._changed_at[key]
+
+
+def split_entries(
+    entries: Collection[DirectoryEntry], version: int
+) -> Iterator[DirectoryUpdates]:
+    """Yields messages with the entries, each below the message size limit."""
+    ordered = tuple(entries)
+    for start in range(0, len(ordered), MAX_PART_ENTRIES):
+        chunk = ordered[start : start + MAX_PART_ENTRIES]
+        yield DirectoryUpdates(version, False, (), (), entries=chunk)
+
+
+def get_rank(entry: DirectoryEntry) -> tuple[int, str, int, tuple[object, ...]]:
+    """Returns what orders two entries of one id: version, origin, then leaving first.
+
+    Agents that start read the list under the same version and no origin, so entries
+    may differ only in content; then the one further on its way out is greater.
+    """
+    if entry.instance is None:
+        return (entry.version, entry.origin, 2, ())
+    leaving = 1 if entry.instance.state == "leaving" else 0
+    return (entry.version, entry.origin, leaving, entry.instance)
+
+
+def find_bucket(identifier: str) -> int:
+    """Returns the bucket of an id."""
+    return hash_bytes(identifier.encode()) % BUCKETS
+
+
+def hash_entry(entry: DirectoryEntry) -> int:
+    """Returns a hash of 64 bits, 0 for a removed id."""
+    if entry.instance is None:
+        return 0
+    return hash_bytes(repr(entry).encode())
+
+
+def hash_bytes(data: bytes) -> int:
+    """Returns a hash of 64 bits that is the same in every process."""
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest(), "big")
