--- a/src/verbenacross/agent/entry_link.py
+++ b/src/verbenacross/agent/entry_link.py
@@ -80,7 +80,8 @@
             raise ProtocolError(f"expected EntryHello, got {type(hello).__name__}")
         self.entry = hello.entry
         self.send(RecordCopies(tuple(self._agent.table.get_copies())))
-        self.send(self._agent.directory.build_complete())
+        for part in self._agent.directory.build_complete():
+            self.send(part)
         if self._agent.synchronized:
             self.send_watermark(self._agent.watermark)
 
