Share observations of upstreams and let them age out

Cause: an entry that saw an upstream draining told nobody, and nothing overruled the lagging list.

An id that returns at the same address stays closed.

--- a/src/verbenacross/upstreams/__init__.py
+++ b/src/verbenacross/upstreams/__init__.py
@@ -1,5 +1,7 @@
 """What is known of upstreams: the directory and shared observations."""
 
+from .observation_reporter import ObservationReporter
+from .observation_table import ObservationTable
 from .upstream_directory import UpstreamDirectory
 
-__all__ = ["UpstreamDirectory"]
+__all__ = ["ObservationReporter", "ObservationTable", "UpstreamDirectory"]
--- /dev/null
+++ b/src/verbenacross/upstreams/replacement_watch.py
@@ -0,0 +1,36 @@
+"""Notices upstreams that came back as another server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..platform import Instance
+    from ..protocol.messages import DirectoryUpdates
+    from .observation_table import ObservationTable
+    from .upstream_directory import UpstreamDirectory
+
+MAX_REMOVED = 4_096
+
+
+class ReplacementWatch:
+    """Drops the observations of an id that moves to another address.
+
+    An id that returns at the same address keeps them: the return may be an old reading
+    of the lagging list, and the server may still be draining.
+    """
+
+    def __init__(self, directory: UpstreamDirectory, table: ObservationTable) -> None:
+        self._table = table
+        self._directory = directory
+        self._known: dict[str, Instance] = {}
+        directory.changes.subscribe(self._take)
+
+    def _take(self, updates: DirectoryUpdates) -> None:
+        for instance in updates.changed:
+            known = self._known.pop(instance.id, None)
+            if known is not None and known.address != instance.address:
+                self._table.forget(instance.id)
+            self._known[instance.id] = instance
+        if len(self._known) > len(self._directory.instances) + MAX_REMOVED:
+            self._known = dict(self._directory.instances)
