--- a/src/verbenacross/platform/http_key_value_store.py
+++ b/src/verbenacross/platform/http_key_value_store.py
@@ -72,6 +72,8 @@
         status, answer = await self._call("PUT", f"/v1/kv/{quote(key)}", body=body)
         if status == HTTP_CONFLICT:
             raise StoreConflictError(key, expected, int(answer["revision"]))
+        if status == HTTP_NOT_FOUND:
+            raise LeaseLostError(f"lease {lease} has lapsed")
         return int(answer["revision"])
 
     async def delete(self, key: str, expected: int) -> int:
