--- /dev/null
+++ b/tests/agent/test_prober.py
@@ -0,0 +1,118 @@
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+from aiohttp import web
+from aioprometheus import Registry
+
+from verbenacross.agent.prober import Prober
+from verbenacross.agent.service_policies import ServicePolicies
+from verbenacross.platform import Instance
+from verbenacross.policy import PolicyRecord, PolicyTable
+from verbenacross.settings import Address
+from verbenacross.upstreams import (
+    ObservationReporter,
+    ObservationTable,
+    UpstreamDirectory,
+)
+
+RATE = 8
+
+
+class Upstream:
+    def __init__(self) -> None:
+        self.times: list[float] = []
+        self.delay_s = 0.0
+
+    async def answer(self, request: web.BaseRequest) -> web.Response:
+        self.times.append(time.monotonic())
+        await asyncio.sleep(self.delay_s)
+        if request.path == "/health":
+            return web.json_response({"state": "draining"})
+        return web.json_response({"in_flight": 4})
+
+
+class Owner:
+    """Owns everything since a time; ``valid`` is the state of the lease."""
+
+    def __init__(self) -> None:
+        self.since: float | None = time.monotonic()
+        self.valid = True
+
+    def find_shard(self, service: str) -> int:
+        return 0
+
+    def holds(self, shard: int) -> bool:
+        return self.valid
+
+    def get_held(self) -> dict[int, float]:
+        return {} if self.since is None else {0: self.since}
+
+
+@asynccontextmanager
+async def run_prober(
+    owner: Any, upstream: Upstream
+) -> AsyncIterator[tuple[Prober, ObservationTable]]:
+    runner = web.ServerRunner(web.Server(upstream.answer))
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = runner.addresses[0][1]
+    table = PolicyTable()
+    body = (
+        b'{"schema_version": 1, "service": "web", "version": 1, '
+        b'"measuring": {"probes_per_second": %d}}' % RATE
+    )
+    table.put(PolicyRecord("policies/web/1", 1, body))
+    directory = UpstreamDirectory()
+    directory.replace([Instance("u0", "web", Address("127.0.0.1", port), "a")])
+    observations = ObservationTable()
+    prober = Prober(
+        owner,
+        directory,
+        ServicePolicies(table),
+        ObservationReporter(observations, "a"),
+        Registry(),
+    )
+    task = asyncio.create_task(prober.run())
+    try:
+        yield prober, observations
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await runner.cleanup()
+
+
+def count_most_in_a_second(times: list[float]) -> int:
+    return max(sum(start <= t < start + 1 for t in times) for start in times)
+
+
+async def test_probes_use_the_budget_but_no_more_and_are_observed():
+    """Guards the budget in every second, also right after a new acquisition."""
+    owner = Owner()
+    upstream = Upstream()
+    async with run_prober(owner, upstream) as (prober, observations):
+        await asyncio.sleep(2.5)
+        ended_at = time.monotonic()
+        owner.since = None
+        await asyncio.sleep(0.5)
+        owner.since = started_at = time.monotonic()
+        await asyncio.sleep(2.2)
+        assert len(upstream.times) == prober.dump_state()["sent"]
+    assert RATE - 2 <= count_most_in_a_second(upstream.times) <= RATE
+    assert not any(ended_at + 0.4 < t < started_at + 1 for t in upstream.times)
+    assert not observations.accepts_work("u0")
+    assert observations.get_load("u0") == 4
+
+
+async def test_no_probe_is_sent_once_the_lease_has_ended():
+    """Guards against a probe of a holder that was paused while it connected."""
+    owner = Owner()
+    upstream = Upstream()
+    owner.valid = False
+    async with run_prober(owner, upstream) as (prober, _):
+        await asyncio.sleep(1.8)
+        assert prober.dump_state()["suppressed_without_lease"] > 0
+    assert upstream.times == []
