Run the knowledge of upstreams in agent and entry

Cause: the parts existed, but no process ran them.

The state dump shows shards, probes, permits and draining upstreams.

--- a/src/verbenacross/agent/agent.py
+++ b/src/verbenacross/agent/agent.py
@@ -13,19 +13,20 @@
 
 from ..observability import AdminServer
 from ..platform import HttpInstanceList, HttpKeyValueStore
-from ..platform.exceptions import InstanceListError
 from ..policy import PolicyTable
 from ..protocol.codec import MAX_MESSAGE_BYTES
 from ..upstreams import UpstreamDirectory
 from .entry_link import EntryLink
+from .solo_network import SoloNetwork
 from .store_reader import StoreReader
+from .upstream_knowledge import UpstreamKnowledge
 
 if TYPE_CHECKING:
+    from ..peers import PeerNetwork
     from ..platform import InstanceList, KeyValueStore
+    from ..protocol.messages import Message
     from ..settings import AgentSettings
 
-LIST_POLL_INTERVAL_S = 1.0
-
 logger = logbook.Logger("verbenacross.agent")
 
 
@@ -42,7 +43,11 @@
         self.entry_links: set[EntryLink] = set()
         self.synchronized = False
         self.watermark = 0
+        # An overlay without peers; an agent with peers replaces it.
+        self.network: PeerNetwork = SoloNetwork(settings)
         self._instances = instances
+        self._store = store
+        self.knowledge: UpstreamKnowledge | None = None
         self._reader = StoreReader(store, self.table, self.raise_watermark)
         self._stopping = asyncio.Event()
         self.table.changes.subscribe(self._spread_record)
@@ -74,10 +79,12 @@
         )
         tasks = [
             asyncio.create_task(self._reader.run()),
-            asyncio.create_task(self._poll_list()),
         ]
         for task in tasks:
             stack.callback(task.cancel)
+        self.knowledge = self._build_knowledge()
+        knowledge_task = asyncio.create_task(self.knowledge.run())
+        stack.push_async_callback(cancel_task, knowledge_task)
         logger.info("agent started", extra={"instance": self.settings.instance})
         await self._stopping.wait()
 
@@ -127,6 +134,7 @@
             "directory": [
                 instance._asdict() for instance in self.directory.instances.values()
             ],
+            "knowledge": self.knowledge.dump_state() if self.knowledge else {},
             "entries": {link.entry: link.applied_revision for link in self.entry_links},
         }
 
@@ -138,13 +146,21 @@
         finally:
             self.entry_links.discard(link)
 
-    async def _poll_list(self) -> None:
-        while True:
-            try:
-                self.directory.replace(await self._instances.read())
-            except InstanceListError as error:
-                logger.warning("instance list cannot be read: {}", error)
-            await asyncio.sleep(LIST_POLL_INTERVAL_S)
+    def _build_knowledge(self) -> UpstreamKnowledge:
+        return UpstreamKnowledge(
+            self.settings,
+            self.network,
+            self._store,
+            self._instances,
+            self.table,
+            self.directory,
+            self.registry,
+            self._send_to_entries,
+        )
+
+    def _send_to_entries(self, message: Message) -> None:
+        for link in self.entry_links:
+            link.send(message)
 
     def _spread_record(self, record: Any) -> None:
         for link in self.entry_links:
@@ -153,3 +169,9 @@
     def _spread_directory(self, updates: Any) -> None:
         for link in self.entry_links:
             link.send_directory(updates)
+
+
+async def cancel_task(task: asyncio.Task[None]) -> None:
+    """Cancels a task and waits until it has released what it holds."""
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- a/src/verbenacross/agent/entry_link.py
+++ b/src/verbenacross/agent/entry_link.py
@@ -14,6 +14,7 @@
     DirectoryUpdates,
     EntryHello,
     Message,
+    Observations,
     RecordCopies,
     Watermark,
 )
@@ -25,6 +26,7 @@
     from .agent import Agent
 
 MAX_QUEUED_MESSAGES = 4_096
+MAX_PART_OBSERVATIONS = 1_000
 
 logger = logbook.Logger("verbenacross.agent.entry_link")
 
@@ -82,9 +84,23 @@
         self.send(RecordCopies(tuple(self._agent.table.get_copies())))
         for part in self._agent.directory.build_complete():
             self.send(part)
+        self._send_observations()
         if self._agent.synchronized:
             self.send_watermark(self._agent.watermark)
 
+    def _send_observations(self) -> None:
+        if self._agent.knowledge is None:
+            return
+        observations = self._agent.knowledge.observations
+        held = tuple(observations.build("draining", "ejected", "cold", "load"))
+        for start in range(0, len(held), MAX_PART_OBSERVATIONS):
+            self.send(Observations(held[start : start + MAX_PART_OBSERVATIONS]))
+
+    def _take_knowledge(self, message: Message) -> None:
+        knowledge = self._agent.knowledge
+        if knowledge is not None and not knowledge.take_from_entry(message):
+            raise ProtocolError(f"unexpected {type(message).__name__}")
+
     async def _send_queued(self) -> None:
         while True:
             message = await self._queue.get()
@@ -96,5 +112,5 @@
                 case AppliedWatermark(revision=revision):
                     self.applied_revision = max(self.applied_revision, revision)
                 case message:
-                    raise ProtocolError(f"unexpected {type(message).__name__}")
+                    self._take_knowledge(message)
         raise ConnectionClosed(None, None)
--- a/src/verbenacross/entry/agent_link.py
+++ b/src/verbenacross/entry/agent_link.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import logbook
+from reactivex.subject import Subject
 from websockets.asyncio.client import connect
 from websockets.exceptions import WebSocketException
 
@@ -17,6 +18,8 @@
     AppliedWatermark,
     DirectoryUpdates,
     EntryHello,
+    Observations,
+    PermitGrant,
     RecordCopies,
     Watermark,
 )
@@ -25,37 +28,58 @@
     from websockets.asyncio.client import ClientConnection
 
     from ..policy import PolicyTable
+    from ..protocol.messages import Message, Observation, ObservationKind
     from ..settings import EntrySettings
-    from ..upstreams import UpstreamDirectory
+    from ..upstreams import ObservationTable, UpstreamDirectory
 
 MAX_RECONNECT_DELAY_S = 0.5
+MAX_QUEUED_MESSAGES = 4_096
+MAX_PART_OBSERVATIONS = 1_000
+SPREAD_KINDS: tuple[ObservationKind, ...] = ("draining", "ejected", "cold")
 
 logger = logbook.Logger("verbenacross.entry.agent_link")
 
 
 class AgentLink:
-    """Keeps policies and directory of an entry up to date from its agent.
+    """Keeps policies, directory and observations of an entry up to date.
 
-    While the agent is away the entry goes on with what it knows.
+    While the agent is away the entry goes on with what it knows. What the entry sees
+    of upstreams goes to the agent; ``grants`` emits the permits that arrive.
     """
 
     def __init__(
-        self, settings: EntrySettings, table: PolicyTable, directory: UpstreamDirectory
+        self,
+        settings: EntrySettings,
+        table: PolicyTable,
+        directory: UpstreamDirectory,
+        observations: ObservationTable,
     ) -> None:
         self._settings = settings
         self._table = table
         self._directory = directory
+        self._observations = observations
+        self._queue: asyncio.Queue[Message] = asyncio.Queue(MAX_QUEUED_MESSAGES)
+        self._receiving = False
+        self.grants: Subject[PermitGrant] = Subject()
         self.connected = False
         self.synchronized = False
         self.watermark = 0
+        observations.changes.subscribe(self._report)
+
+    def send(self, message: Message) -> bool:
+        """Queues a message for the agent; returns false if it is dropped."""
+        if not self.connected or self._queue.full():
+            return False
+        self._queue.put_nowait(message)
+        return True
 
     async def run(self) -> None:
         """Connects to the agent again and again."""
         while True:
             try:
                 await self._follow()
-            except (OSError, WebSocketException, ProtocolError) as error:
-                logger.warning("agent link closed: {!r}", error)
+            except* (OSError, WebSocketException, ProtocolError) as errors:
+                logger.warning("agent link closed: {!r}", errors.exceptions)
             self.connected = False
             await asyncio.sleep(random.uniform(0, MAX_RECONNECT_DELAY_S))
 
@@ -65,11 +89,35 @@
         ) as connection:
             hello = EntryHello(PROTOCOL_VERSION, self._settings.instance)
             await connection.send(encode_message(hello))
+            self._queue = asyncio.Queue(MAX_QUEUED_MESSAGES)
             self.connected = True
-            async for frame in connection:
-                await self._take(connection, frame)
+            self._report(tuple(self._observations.build(*SPREAD_KINDS)))
+            async with asyncio.TaskGroup() as tasks:
+                sending = tasks.create_task(self._send_queued(connection))
+                async for frame in connection:
+                    self._take(frame)
+                sending.cancel()
+
+    async def _send_queued(self, connection: ClientConnection) -> None:
+        while True:
+            message = await self._queue.get()
+            await connection.send(encode_message(message))
+
+    def _report(self, news: tuple[Observation, ...]) -> None:
+        """Sends what this entry saw itself; the agent spread the rest."""
+        if self._receiving:
+            return
+        for start in range(0, len(news), MAX_PART_OBSERVATIONS):
+            self.send(Observations(news[start : start + MAX_PART_OBSERVATIONS]))
+
+    def _take_observations(self, observations: tuple[Observation, ...]) -> None:
+        self._receiving = True
+        try:
+            self._observations.take(observations)
+        finally:
+            self._receiving = False
 
-    async def _take(self, connection: ClientConnection, frame: bytes | str) -> None:
+    def _take(self, frame: bytes | str) -> None:
         match decode_message(frame):
             case RecordCopies(records=records):
                 self._table.put_all(records)
@@ -78,6 +126,11 @@
             case Watermark(revision=revision):
                 self.synchronized = True
                 self.watermark = max(self.watermark, revision)
-                await connection.send(encode_message(AppliedWatermark(self.watermark)))
+                if not self.send(AppliedWatermark(self.watermark)):
+                    raise ProtocolError("the agent takes no messages")
+            case Observations(observations=observations):
+                self._take_observations(observations)
+            case PermitGrant() as grant:
+                self.grants.on_next(grant)
             case message:
                 raise ProtocolError(f"unexpected {type(message).__name__}")
--- a/src/verbenacross/entry/entry.py
+++ b/src/verbenacross/entry/entry.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 from aioprometheus import Counter, Registry
 
-from ..limits import ServiceGate
+from ..limits import PermitClient, ServiceGate
 from ..observability import AdminServer
 from ..policy import PolicyTable
 from ..policy.policy_selector import (
@@ -25,7 +25,8 @@
 )
 from ..refusals import RefusedError, refuse_not_run
 from ..routing import ServiceRouter
-from ..upstreams import UpstreamDirectory
+from ..upstreams import ObservationReporter, ObservationTable, UpstreamDirectory
+from ..upstreams.replacement_watch import ReplacementWatch
 from .agent_link import AgentLink
 from .forwarder import MS_PER_S, Forwarder
 from .headers import CALLER_HEADER, REQUEST_ID_HEADER, SERVICE_HEADER
@@ -47,7 +48,12 @@
         self.directory = UpstreamDirectory()
         self.selector = PolicySelector(self.table)
         self.registry = Registry()
-        self.link = AgentLink(settings, self.table, self.directory)
+        self.observations = ObservationTable()
+        ReplacementWatch(self.directory, self.observations)
+        self.reporter = ObservationReporter(self.observations, settings.instance)
+        self.link = AgentLink(settings, self.table, self.directory, self.observations)
+        self.permits = PermitClient(self.link.send)
+        self.link.grants.subscribe(self.permits.take)
         self._forwarder = Forwarder(session)
         self._gates: dict[str, ServiceGate] = {}
         self._generator = random.Random()
@@ -78,6 +84,8 @@
         await stack.enter_async_context(AdminServer(self, self.settings.admin_listen))
         link_task = asyncio.create_task(self.link.run())
         stack.callback(link_task.cancel)
+        permits_task = asyncio.create_task(self.permits.run())
+        stack.callback(permits_task.cancel)
         server = web.Server(self.handle, access_log=None)
         runner = web.ServerRunner(
             server, shutdown_timeout=self.settings.drain_timeout_ms / MS_PER_S
@@ -106,6 +114,8 @@
             "agent_connected": self.link.connected,
             "watermark": self.link.watermark,
             "in_flight": self._in_flight,
+            "draining": sorted(self.observations.find_draining()),
+            "permits": self.permits.dump_state(),
             "policies": {
                 key: {
                     "revision": self.table.valid[key].revision,
@@ -156,7 +166,9 @@
         if gate is None:
             router = ServiceRouter(self._generator)
             router.set_instances(self.directory.get_service(service))
-            gate = self._gates[service] = ServiceGate(service, router)
+            gate = self._gates[service] = ServiceGate(
+                service, router, self.permits, self.reporter
+            )
         return gate
 
     def _update_routers(self, updates: DirectoryUpdates) -> None:
