--- a/src/verbenacross/entry/entry.py
+++ b/src/verbenacross/entry/entry.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 from aioprometheus import Counter, Registry
 
-from ..limits import ServiceGate
+from ..limits import PermitClient, ServiceGate
 from ..observability import AdminServer
 from ..platform import HttpKeyValueStore
 from ..platform.instance_list import AGENT_SERVICE
@@ -28,7 +28,8 @@
 )
 from ..refusals import RefusedError, refuse_not_run
 from ..routing import ServiceRouter
-from ..upstreams import UpstreamDirectory
+from ..upstreams import ObservationReporter, ObservationTable, UpstreamDirectory
+from ..upstreams.replacement_watch import ReplacementWatch
 from .agent_link import AgentLink
 from .caller_protocol import CallerServer
 from .drain import Drain
@@ -67,7 +68,12 @@
         self.directory = UpstreamDirectory()
         self.selector = PolicySelector(self.table)
         self.registry = Registry()
-        self.link = AgentLink(settings, self.table, self.directory)
+        self.observations = ObservationTable()
+        ReplacementWatch(self.directory, self.observations)
+        self.reporter = ObservationReporter(self.observations, settings.instance)
+        self.link = AgentLink(settings, self.table, self.directory, self.observations)
+        self.permits = PermitClient(self.link.send)
+        self.link.grants.subscribe(self.permits.take)
         self._drain = Drain()
         self._forwarder = Forwarder(client, keys, self._drain)
         self._gates: dict[str, ServiceGate] = {}
@@ -104,6 +110,8 @@
         await stack.enter_async_context(AdminServer(self, self.settings.admin_listen))
         link_task = asyncio.create_task(self.link.run())
         stack.callback(link_task.cancel)
+        permits_task = asyncio.create_task(self.permits.run())
+        stack.callback(permits_task.cancel)
         server = CallerServer(
             self.handle,
             access_log=None,
@@ -156,6 +164,8 @@
                 for service, budget in self._forwarder.budgets.items()
             },
             "services": {name: gate.describe() for name, gate in self._gates.items()},
+            "draining": sorted(self.observations.find_draining()),
+            "permits": self.permits.dump_state(),
             "policies": {
                 key: {
                     "revision": self.table.valid[key].revision,
@@ -242,10 +252,19 @@
     def _get_gate(self, service: str) -> ServiceGate:
         gate = self._gates.get(service)
         if gate is None:
-            router = ServiceRouter(self._generator, self.settings.failure_domain)
+            router = ServiceRouter(
+                self._generator, self.settings.failure_domain, self.observations
+            )
+            router.ejections.subscribe(
+                lambda ejection: self.reporter.note_ejected(
+                    ejection.upstream, ejection.lifetime_ms
+                )
+            )
             router.set_instances(self.directory.get_service(service))
             router.set_peers(self._get_peers(), self.settings.instance)
-            gate = self._gates[service] = ServiceGate(service, router)
+            gate = self._gates[service] = ServiceGate(
+                service, router, self.permits, self.reporter
+            )
         return gate
 
     def _update_routers(self, updates: DirectoryUpdates) -> None:
--- a/src/verbenacross/limits/service_gate.py
+++ b/src/verbenacross/limits/service_gate.py
@@ -14,6 +14,8 @@
 
     from ..policy import Policy
     from ..routing import AttemptOutcome, RequestContext, ServiceRouter, UpstreamState
+    from ..upstreams import ObservationReporter
+    from .permit_client import PermitClient
 
 # Reports age and ejections end without an event, so waiting requests are looked at
 # again after this time.
@@ -28,15 +30,25 @@
 class ServiceGate:
     """Admits requests of one service and gives each an upstream.
 
-    Every upstream that ``acquire`` returns must be given back with ``release``. A
-    request waits in the entry while no upstream has room, in order of priority and then
-    of deadline. It is refused as soon as it cannot be answered in time.
+    Every upstream that ``acquire`` returns must be given back with ``release`` in the
+    same task. A request waits in the entry while no upstream has room, in order of
+    priority and then of deadline. It is refused as soon as it cannot be answered in
+    time. Long work waits for a permit instead.
     """
 
-    def __init__(self, service: str, router: ServiceRouter) -> None:
+    def __init__(
+        self,
+        service: str,
+        router: ServiceRouter,
+        permits: PermitClient,
+        reporter: ObservationReporter,
+    ) -> None:
         self.router = router
         self.refused = 0
         self._service = service
+        self._permits = permits
+        self._reporter = reporter
+        self._contexts: dict[tuple[object, str], RequestContext] = {}
         self._queue = RequestQueue()
         self._policy: Policy | None = None
         self._recheck: asyncio.TimerHandle | None = None
@@ -63,6 +75,32 @@
         Raises ``RefusedError`` (not run) when the request cannot be answered in time.
         """
         self._policy = context.policy
+        if context.request_class.size == "long":
+            upstream = await self._acquire_long(context, excluded)
+        else:
+            upstream = await self._acquire_short(context, excluded)
+            self._permits.note_short(context, upstream.instance.id)
+        self._contexts[asyncio.current_task(), upstream.instance.id] = context
+        return upstream
+
+    def release(self, upstream: UpstreamState, outcome: AttemptOutcome) -> None:
+        """Gives an upstream back with what the attempt showed."""
+        identifier = upstream.instance.id
+        context = self._contexts.pop((asyncio.current_task(), identifier), None)
+        if context is not None:
+            self._permits.release(context, identifier)
+        self.router.finish(upstream, outcome, self._policy)
+        if self._policy is not None:
+            cold_start_ms = self._policy.upstreams.cold_start_ms
+            self._reporter.note_state(
+                identifier, outcome.announced_state, cold_start_ms
+            )
+        if self._queue:
+            self.dispatch()
+
+    async def _acquire_short(
+        self, context: RequestContext, excluded: Collection[str]
+    ) -> UpstreamState:
         if not self._queue:
             upstream = self.router.choose(context, excluded)
             if upstream is not None:
@@ -73,11 +111,19 @@
             raise refuse_not_run(503, "no-upstream", title)
         return await self._wait(context, excluded)
 
-    def release(self, upstream: UpstreamState, outcome: AttemptOutcome) -> None:
-        """Gives an upstream back with what the attempt showed."""
-        self.router.finish(upstream, outcome, self._policy)
-        if self._queue:
-            self.dispatch()
+    async def _acquire_long(
+        self, context: RequestContext, excluded: Collection[str]
+    ) -> UpstreamState:
+        """Returns the upstream of a permit; skips those this entry may not use."""
+        unusable = set(excluded)
+        while True:
+            identifier = await self._permits.acquire(context, unusable)
+            upstream = self.router.find(identifier)
+            if upstream is not None:
+                self.router.start(upstream, context)
+                return upstream
+            self._permits.release(context, identifier)
+            unusable.add(identifier)
 
     def dispatch(self) -> None:
         """Gives upstreams with room to waiting requests; refuses late ones."""
--- a/src/verbenacross/platform/http_key_value_store.py
+++ b/src/verbenacross/platform/http_key_value_store.py
@@ -74,6 +74,8 @@
             raise LeaseLostError(f"lease {lease} of key {key!r} has lapsed")
         if status == HTTP_CONFLICT:
             raise StoreConflictError(key, expected, int(answer["revision"]))
+        if status == HTTP_NOT_FOUND:
+            raise LeaseLostError(f"lease {lease} has lapsed")
         return int(answer["revision"])
 
     async def delete(self, key: str, expected: int) -> int:
--- a/src/verbenacross/routing/service_router.py
+++ b/src/verbenacross/routing/service_router.py
@@ -110,12 +110,27 @@
         return self._states.values()
 
     def has_upstream(self, excluded: Collection[str] = ()) -> bool:
-        """Returns whether any live upstream is left."""
+        """Returns whether any upstream that accepts work is left."""
         return any(
-            state.instance.state == "live" and state.instance.id not in excluded
+            state.instance.id not in excluded and self.accepts_work(state)
             for state in self._states.values()
         )
 
+    def find(self, upstream: str) -> UpstreamState | None:
+        """Returns an upstream if it accepts work."""
+        state = self._states.get(upstream)
+        if state is None or not self.accepts_work(state):
+            return None
+        return state
+
+    def accepts_work(self, state: UpstreamState) -> bool:
+        """Returns whether the upstream is live and has not announced to leave."""
+        return (
+            state.instance.state == "live"
+            and self.clock() >= state.draining_until
+            and self._knowledge.accepts_work(state.instance.id)
+        )
+
     def choose(
         self, context: RequestContext, excluded: Collection[str] = ()
     ) -> UpstreamState | None:
@@ -236,9 +251,7 @@
         live = [
             state
             for state in self._states.values()
-            if state.instance.state == "live"
-            and now >= state.draining_until
-            and self._knowledge.may_get_work(state.instance.id)
+            if self.accepts_work(state)
             and (subset is None or state.instance.id in subset.upstreams)
         ]
         for state in live:
