Neither send nor parse an unchanged instance list again

Cause: a reader polls the list every second; 25,000 instances are about 2.5 MB of JSON.

Change: HttpInstanceList sends the entity tag of the last answer and returns the same tuple while the list is unchanged; ListReader compares nothing while neither the reading nor the replica has changed. The platform stand-in serves entity tags.

Proof: tests/platform/test_http_instance_list.py fails without the handling of 304.

--- a/src/verbenacross/agent/directory_sync.py
+++ b/src/verbenacross/agent/directory_sync.py
@@ -59,6 +59,8 @@
         self._replica = replica
         self._reader = ListReader(replica, settings.instance)
         self._sender = sender
+        self._last_reading: tuple[Instance, ...] | None = None
+        self._usable: tuple[Instance, ...] = ()
         self._asked_at = -ASK_INTERVAL_S
 
     async def run(self) -> None:
@@ -115,15 +117,21 @@
         except InstanceListError as error:
             logger.warning("instance list cannot be read: {}", error)
             return
+        if reading is not self._last_reading:
+            self._last_reading = reading
+            self._usable = self._drop_unusable(reading)
+        taken = self._reader.take(self._usable)
+        if taken and not was_empty:
+            self._broadcast(taken)
+
+    def _drop_unusable(self, reading: tuple[Instance, ...]) -> tuple[Instance, ...]:
         usable = tuple(instance for instance in reading if is_usable(instance))
         if len(usable) < len(reading):
             logger.warning(
                 "{} listed instances have an empty or too long field",
                 len(reading) - len(usable),
             )
-        taken = self._reader.take(usable)
-        if taken and not was_empty:
-            self._broadcast(taken)
+        return usable
 
     def _broadcast(
         self, entries: tuple[DirectoryEntry, ...], received_from: str | None = None
--- a/src/verbenacross/agent/list_reader.py
+++ b/src/verbenacross/agent/list_reader.py
@@ -45,6 +45,8 @@
         self._origin = origin
         self._clock = clock
         self._listed: dict[str, Instance] | None = None
+        self._reading: tuple[Instance, ...] | None = None
+        self._merges = 0
         self._moved_at: dict[str, float] = {}
         self._differences: dict[str, Difference] = {}
         self._doublings: dict[str, int] = {}
@@ -52,6 +54,7 @@
     def reset(self) -> None:
         """Forgets earlier readings, after a time in which no list was read."""
         self._listed = None
+        self._reading = None
         self._moved_at = {}
         self._differences = {}
 
@@ -59,6 +62,8 @@
         """Takes a reading and returns the entries that the replica took from it."""
         if self._replica.is_empty():
             return self._take_first(reading)
+        if self._is_settled(reading):
+            return ()
         fresh = {instance.id: instance for instance in reading}
         before = self._listed
         now = self._clock()
@@ -69,7 +74,18 @@
         ]
         self._note_moves(fresh, before, now)
         self._listed = fresh
-        return self._replica.propose(self._origin, news) if news else ()
+        taken = self._replica.propose(self._origin, news) if news else ()
+        self._reading = reading
+        self._merges = self._replica.merges
+        return taken
+
+    def _is_settled(self, reading: tuple[Instance, ...]) -> bool:
+        """Returns whether the same reading was found equal to the same replica."""
+        return (
+            reading is self._reading
+            and self._merges == self._replica.merges
+            and not self._differences
+        )
 
     def _take_first(self, reading: Iterable[Instance]) -> tuple[DirectoryEntry, ...]:
         # The same version and no origin on every agent, so that agents which start
--- a/src/verbenacross/platform/http_instance_list.py
+++ b/src/verbenacross/platform/http_instance_list.py
@@ -11,6 +11,7 @@
 from .instance_list import Instance
 
 HTTP_OK = 200
+HTTP_NOT_MODIFIED = 304
 
 
 class ListAnswer(NamedTuple):
@@ -23,7 +24,11 @@
 
 
 class HttpInstanceList:
-    """Instance list over HTTP; implements ``InstanceList``."""
+    """Instance list over HTTP; implements ``InstanceList``.
+
+    The list is read every second and seldom changes: an unchanged answer is neither
+    sent again, if the platform supports entity tags, nor parsed again.
+    """
 
     def __init__(
         self, session: aiohttp.ClientSession, url: str, timeout_s: float = 2.0
@@ -31,17 +36,36 @@
         self._session = session
         self._url = url.rstrip("/") + "/v1/instances"
         self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._tag: str | None = None
+        self._text = b""
+        self._instances: tuple[Instance, ...] = ()
 
     async def read(self) -> tuple[Instance, ...]:
-        """Returns all instances; raises ``InstanceListError`` if it cannot be read."""
+        """Returns all instances; raises ``InstanceListError`` if it cannot be read.
+
+        An unchanged list is the same object as before.
+        """
+        headers = {} if self._tag is None else {"If-None-Match": self._tag}
         try:
-            async with self._session.get(self._url, timeout=self._timeout) as response:
+            async with self._session.get(
+                self._url, timeout=self._timeout, headers=headers
+            ) as response:
                 text = await response.read()
                 status = response.status
+                tag = response.headers.get("ETag")
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise InstanceListError(f"GET {self._url}: {error!r}") from error
+        if status == HTTP_NOT_MODIFIED and self._tag is not None:
+            return self._instances
         if status != HTTP_OK:
             raise InstanceListError(f"GET {self._url}: status {status}")
+        if text != self._text:
+            self._instances = self._parse(text)
+            self._text = text
+        self._tag = tag
+        return self._instances
+
+    def _parse(self, text: bytes) -> tuple[Instance, ...]:
         try:
             return ANSWER_ADAPTER.validate_json(text).instances
         except ValidationError as error:
--- a/src/verbenacross/upstreams/directory_replica.py
+++ b/src/verbenacross/upstreams/directory_replica.py
@@ -38,6 +38,7 @@
     ) -> None:
         self.directory = directory
         self.version = 0
+        self.merges = 0
         self._clock = clock
         self._entries: dict[str, DirectoryEntry] = {}
         self._by_bucket: list[set[str]] = [set() for _ in range(BUCKETS)]
@@ -77,6 +78,7 @@
                 self._put(entry, known)
                 taken[entry.id] = entry
         if taken:
+            self.merges += 1
             self._purge()
             self._publish(taken.values())
         return tuple(taken.values())
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -10,6 +10,8 @@
 import argparse
 import asyncio
 import collections
+import hashlib
+import json
 import time
 import uuid
 from typing import Any, NamedTuple
@@ -240,8 +242,14 @@
             await asyncio.sleep(LEASE_CHECK_INTERVAL_S)
 
     async def list_instances(self, request: web.Request) -> web.Response:
-        """Serves the lagging instance list."""
-        return web.json_response({"instances": self.visible_instances})
+        """Serves the lagging instance list, with an entity tag."""
+        body = json.dumps({"instances": self.visible_instances}).encode()
+        tag = f'"{hashlib.sha256(body).hexdigest()}"'
+        if request.headers.get("If-None-Match") == tag:
+            return web.Response(status=304, headers={"ETag": tag})
+        return web.Response(
+            body=body, content_type="application/json", headers={"ETag": tag}
+        )
 
     async def set_instances(self, request: web.Request) -> web.Response:
         """Sets the instance list; it becomes visible after the lag."""
--- /dev/null
+++ b/tests/platform/test_http_instance_list.py
@@ -0,0 +1,22 @@
+import aiohttp
+from aiohttp.test_utils import TestServer
+
+from standins.platform import PlatformStandIn
+from verbenacross.platform import HttpInstanceList
+
+LISTED = {"id": "x", "service": "web", "address": "127.0.0.1:80", "failure_domain": "a"}
+
+
+async def test_unchanged_list_is_the_same_object_and_a_change_is_seen():
+    """Guards the cost of a reader that polls every second, and its view."""
+    platform = PlatformStandIn()
+    server = TestServer(platform.build_application())
+    async with server, aiohttp.ClientSession() as session:
+        instances = HttpInstanceList(session, str(server.make_url("")))
+        platform.show_instances([LISTED])
+        first = await instances.read()
+        assert await instances.read() is first
+        platform.show_instances([{**LISTED, "state": "leaving"}])
+        assert (await instances.read())[0].state == "leaving"
+        platform.show_instances([])
+        assert await instances.read() == ()
