--- /dev/null
+++ b/measure/knowledge.py
@@ -0,0 +1,297 @@
+"""Measures what the agents' knowledge of upstreams costs.
+
+``python -m measure.knowledge`` prints one JSON object: seconds from a drain signal on
+one entry to the last entry, bytes and processor time of an agent as slopes, store calls
+per second over the number of shards, and the time to get a permit.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import statistics
+import time
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from standins.fleet import HOST, Fleet, call
+from verbenacross.agent.observation_spreader import SPREAD_KINDS
+from verbenacross.entry.agent_link import AgentLink
+from verbenacross.limits import PermitClient
+from verbenacross.platform import Instance
+from verbenacross.policy import Policy, PolicyTable
+from verbenacross.policy.policy import RequestClass
+from verbenacross.protocol import decode_message, encode_message
+from verbenacross.protocol.messages import Observation, Observations
+from verbenacross.routing import RequestContext
+from verbenacross.settings import Address, EntrySettings
+from verbenacross.upstreams import ObservationTable, UpstreamDirectory
+from verbenacross.upstreams.directory_replica import DirectoryReplica, split_entries
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+MS_PER_S = 1_000
+WINDOW_S = 6.0
+SETTLE_S = 8.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+class Usage(NamedTuple):
+    """Processor seconds and bytes of the agents' peer links, totals so far."""
+
+    cpu_s: float
+    sent_bytes: int
+    received_bytes: int
+
+
+def start_agents(fleet: Fleet, count: int, **settings: Any) -> list[str]:
+    """Starts instances without entries and waits until all know each other."""
+    names = [f"instance-{index}" for index in range(count)]
+    for name in names:
+        fleet.add_instance(name, agent=settings, with_entry=False)
+    fleet.publish_instances()
+    fleet.wait_ready()
+    fleet.wait_until(lambda: all(count_alive(fleet, name) == count for name in names))
+    return names
+
+
+def count_alive(fleet: Fleet, name: str) -> int:
+    """Returns the live members that an agent sees."""
+    return int(fleet.read_state(name)["knowledge"]["alive"])
+
+
+def read_usage(fleet: Fleet, name: str) -> Usage:
+    """Returns what an agent has used so far."""
+    process = fleet.processes[f"{name}-agent"]
+    with open(f"/proc/{process.pid}/stat") as file:
+        fields = file.read().rpartition(")")[2].split()
+    peers = fleet.read_state(name)["peers"]
+    cpu_s = (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+    return Usage(cpu_s, int(peers["sent_bytes"]), int(peers["received_bytes"]))
+
+
+def measure_use(fleet: Fleet, names: Sequence[str]) -> dict[str, float]:
+    """Returns the mean use of the agents per second over a window."""
+    before = [read_usage(fleet, name) for name in names]
+    time.sleep(WINDOW_S)
+    after = [read_usage(fleet, name) for name in names]
+    pairs = list(zip(before, after, strict=True))
+
+    def average(field: int) -> float:
+        return statistics.mean((b[field] - a[field]) / WINDOW_S for a, b in pairs)
+
+    return {
+        "cpu_percent": round(average(0) * 100, 2),
+        "sent_bytes_per_s": round(average(1)),
+        "received_bytes_per_s": round(average(2)),
+    }
+
+
+def measure_drain(instances: int, rounds: int) -> dict[str, Any]:
+    """Returns seconds from an answer with the drain signal to the last entry."""
+    seconds = []
+    with Fleet() as fleet:
+        upstreams = [fleet.add_upstream("web", index) for index in range(rounds + 1)]
+        names = [f"instance-{index}" for index in range(instances)]
+        for name in names:
+            fleet.add_instance(name)
+        fleet.publish_instances()
+        fleet.write_policy("web", 1, measuring={"probes_per_second": 0})
+        fleet.wait_ready()
+        fleet.wait_until(lambda: all(count_alive(fleet, n) == instances for n in names))
+        time.sleep(2)
+        for upstream in upstreams[:rounds]:
+            fleet.set_behaviour(upstream, draining=True)
+            url = fleet.get_entry_url(names[0]) + "/web/x"
+            while call(url)[1].get("X-Upstream") != upstream:
+                pass
+            seconds.append(wait_all_closed(fleet, names, upstream))
+    return {
+        "instances": instances,
+        "rounds": rounds,
+        "seconds_median": round(statistics.median(seconds), 3),
+        "seconds_max": round(max(seconds), 3),
+    }
+
+
+def wait_all_closed(fleet: Fleet, names: Sequence[str], upstream: str) -> float:
+    """Returns the seconds until every entry lists an upstream as draining."""
+
+    def is_closed() -> bool:
+        states = (fleet.read_state(name, "entry") for name in names)
+        return all(upstream in state["draining"] for state in states)
+
+    return fleet.wait_until(is_closed)
+
+
+def measure_agents(upstreams: int, agents: int) -> dict[str, Any]:
+    """Returns the use of idle agents with a list of upstreams that do not exist."""
+    with Fleet() as fleet:
+        fleet.instances = [
+            {
+                "id": f"upstream-{index:06}",
+                "service": f"service-{index // 25}",
+                "address": f"{HOST}:9",
+                "failure_domain": f"domain-{index % 4}",
+                "state": "live",
+            }
+            for index in range(upstreams)
+        ]
+        names = start_agents(fleet, agents)
+        time.sleep(SETTLE_S)
+        readers = [n for n in names if fleet.read_state(n)["knowledge"]["reader"]]
+        others = [name for name in names if name not in readers]
+        result = {"upstreams": upstreams, "agents": agents}
+        return {
+            **result,
+            "readers": measure_use(fleet, readers),
+            "others": measure_use(fleet, others) if others else None,
+        }
+
+
+def measure_store_calls(shards: int, agents: int) -> dict[str, Any]:
+    """Returns store calls per second for leases when nothing changes."""
+    with Fleet() as fleet:
+        names = start_agents(fleet, agents, ownership_shards=shards)
+        fleet.wait_until(lambda: count_held(fleet, names) == shards)
+        time.sleep(SETTLE_S)
+        before = count_lease_calls(fleet)
+        time.sleep(2 * WINDOW_S)
+        calls = count_lease_calls(fleet) - before
+    rate = calls / (2 * WINDOW_S)
+    return {"shards": shards, "agents": agents, "calls_per_s": round(rate, 2)}
+
+
+def count_held(fleet: Fleet, names: Sequence[str]) -> int:
+    """Returns the shards that the agents hold together."""
+    states = (fleet.read_state(name)["knowledge"] for name in names)
+    return sum(len(state["shards_held"]) for state in states)
+
+
+def count_lease_calls(fleet: Fleet) -> int:
+    """Returns the calls to leases and shard keys; policies are watched, not read."""
+    _, _, body = call(f"{fleet.store_url}/control/calls")
+    calls: dict[str, int] = json.loads(body)["calls"]
+    return sum(count for kind, count in calls.items() if "watch" not in kind)
+
+
+def measure_permits(count: int) -> dict[str, Any]:
+    """Returns the milliseconds to get a permit from the own and another agent."""
+    with Fleet() as fleet:
+        fleet.add_upstream("web", 0, slots=100)
+        names = start_agents(fleet, 2)
+        fleet.write_policy("web", 1, upstreams={"slots": 100})
+        holders: list[str] = []
+
+        def find_holder() -> bool:
+            for name in names:
+                if fleet.read_state(name)["knowledge"]["owned_services"]:
+                    holders[:] = [name]
+                    return True
+            return False
+
+        fleet.wait_until(find_holder)
+        time.sleep(3)
+        other = next(name for name in names if name not in holders)
+        return {
+            "count": count,
+            "own_agent_ms": asyncio.run(time_permits(fleet, holders[0], count)),
+            "other_agent_ms": asyncio.run(time_permits(fleet, other, count)),
+        }
+
+
+async def time_permits(fleet: Fleet, name: str, count: int) -> dict[str, float]:
+    """Returns percentiles of the milliseconds to get a permit through an agent."""
+    listen = Address(HOST, 9)
+    agent = Address(HOST, fleet.ports[name].entry_link)
+    settings = EntrySettings("measure", "a", listen, listen, agent, "")
+    link = AgentLink(settings, PolicyTable(), UpstreamDirectory(), ObservationTable())
+    client = PermitClient(link.send)
+    link.grants.subscribe(client.take)
+    task = asyncio.create_task(link.run())
+    while not link.synchronized:
+        await asyncio.sleep(0.01)
+    taken = []
+    policy = Policy(1, "web", 1)
+    for index in range(count):
+        context = RequestContext(
+            str(index),
+            "web",
+            policy,
+            1,
+            RequestClass("long", size="long"),
+            True,
+            time.monotonic() + 10,
+        )
+        started = time.perf_counter()
+        upstream = await client.acquire(context)
+        taken.append((time.perf_counter() - started) * MS_PER_S)
+        client.release(context, upstream)
+    task.cancel()
+    taken.sort()
+    return {
+        "p50": round(taken[len(taken) // 2], 3),
+        "p99": round(taken[len(taken) * 99 // 100], 3),
+    }
+
+
+def measure_messages() -> dict[str, Any]:
+    """Returns bytes and processor microseconds for an upstream and an observation."""
+    address = Address("10.20.30.40", 8080)
+    instances = [
+        Instance(f"upstream-{i:06}", f"service-{i // 25}", address, "domain-1")
+        for i in range(25_000)
+    ]
+    replica = DirectoryReplica(UpstreamDirectory())
+    entries = replica.propose("reader", [(i.id, i) for i in instances])
+    frames = [encode_message(part) for part in split_entries(entries, 1)]
+    started = time.process_time()
+    target = DirectoryReplica(UpstreamDirectory())
+    for frame in frames:
+        message: Any = decode_message(frame)
+        target.merge(message.entries)
+    directory_us = (time.process_time() - started) * 1e6 / len(instances)
+    observations = [
+        Observation(f"upstream-{i:06}", "instance-0001", SPREAD_KINDS[1], 5, 30_000)
+        for i in range(4_000)
+    ]
+    started = time.process_time()
+    table = ObservationTable()
+    size = 0
+    for observation in observations:
+        frame = encode_message(Observations((observation,)))
+        size += len(frame)
+        received: Any = decode_message(frame)
+        table.take(received.observations)
+    observation_us = (time.process_time() - started) * 1e6 / len(observations)
+    return {
+        "bytes_per_upstream": round(sum(map(len, frames)) / len(instances), 1),
+        "cpu_us_per_upstream": round(directory_us, 1),
+        "largest_frame_bytes": max(map(len, frames)),
+        "bytes_per_observation": round(size / len(observations), 1),
+        "cpu_us_per_observation": round(observation_us, 1),
+    }
+
+
+def main() -> None:
+    """Runs all measurements and prints them as JSON."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--instances", type=int, default=6)
+    arguments = parser.parse_args()
+    result = {
+        "messages": measure_messages(),
+        "permits": measure_permits(1_000),
+        "drain": measure_drain(arguments.instances, 6),
+        "store_calls": [measure_store_calls(shards, 4) for shards in (4, 32, 256)],
+        "agents": [
+            measure_agents(upstreams, agents)
+            for upstreams, agents in ((100, 4), (5_000, 4), (25_000, 4), (100, 12))
+        ],
+    }
+    print(json.dumps(result, indent=2))
+
+
+if __name__ == "__main__":
+    main()
