Read the store from a few agents and keep what it loses

Cause: every agent watched the store; deletions during a gap of the watch were missed; a store that came back without its last writes was not noticed; an entry could receive a watermark before its records; all copies went to an entry in one message; in_force fell when an entry connected. Copies in force that operators' keys do not hold are saved under valid/. Entries hand their records to an agent that restarted. GET /status shows members and findings; SIGTERM announces leaving. The check of lost records was narrowed to records above the store's revision: a trace showed a deletion that the store still knew of.

--- a/src/verbenacross/agent/agent.py
+++ b/src/verbenacross/agent/agent.py
@@ -12,19 +12,25 @@
 from websockets.asyncio.server import ServerConnection, serve
 
 from ..observability import AdminServer
+from ..peers import AgentNetwork
 from ..platform import HttpInstanceList, HttpKeyValueStore
 from ..platform.exceptions import InstanceListError
-from ..policy import PolicyTable
+from ..platform.instance_list import AGENT_SERVICE
+from ..policy import PolicyTable, TableProgress
 from ..protocol.codec import MAX_MESSAGE_BYTES
 from ..upstreams import UpstreamDirectory
 from .entry_link import EntryLink
-from .store_reader import StoreReader
+from .in_force import InForce
+from .reader_role import ReaderRole
+from .status import add_status
 
 if TYPE_CHECKING:
-    from ..platform import InstanceList, KeyValueStore
+    from ..platform import Instance, InstanceList, KeyValueStore
     from ..settings import AgentSettings
 
 LIST_POLL_INTERVAL_S = 1.0
+READ_TIMEOUT_MS = 30_000
+ENTRY_PING_INTERVAL_S = 1.0
 
 logger = logbook.Logger("verbenacross.agent")
 
@@ -33,18 +39,27 @@
     """Control of one instance: records, directory and links to its entries."""
 
     def __init__(
-        self, settings: AgentSettings, store: KeyValueStore, instances: InstanceList
+        self,
+        settings: AgentSettings,
+        store: KeyValueStore,
+        instances: InstanceList,
+        reader_store: KeyValueStore | None = None,
     ) -> None:
         self.settings = settings
         self.table = PolicyTable()
+        self.progress = TableProgress(self.table)
+        self.network = AgentNetwork(settings, self.progress)
+        self.in_force = InForce(self.progress)
+        self.role = ReaderRole(
+            settings, reader_store or store, self.network, self.progress
+        )
         self.directory = UpstreamDirectory()
         self.registry = Registry()
         self.entry_links: set[EntryLink] = set()
-        self.synchronized = False
-        self.watermark = 0
         self._instances = instances
-        self._reader = StoreReader(store, self.table, self.raise_watermark)
         self._stopping = asyncio.Event()
+        self.progress.changes.subscribe(self._spread_watermark)
+        self.in_force.changes.subscribe(self.network.report_in_force)
         self.table.changes.subscribe(self._spread_record)
         self.directory.changes.subscribe(self._spread_directory)
 
@@ -52,34 +67,45 @@
     async def run_from_config(cls, settings: AgentSettings) -> None:
         """Runs an agent until it is told to stop."""
         async with AsyncExitStack() as stack:
-            session = await stack.enter_async_context(aiohttp.ClientSession())
+            # No connection is used twice: one that went silent while it was idle
+            # would fail the next call.
+            session = await stack.enter_async_context(
+                aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True))
+            )
             agent = cls(
                 settings,
                 HttpKeyValueStore(session, settings.store_url),
                 HttpInstanceList(session, settings.list_url),
+                HttpKeyValueStore(session, settings.store_url, READ_TIMEOUT_MS),
             )
             asyncio.get_running_loop().add_signal_handler(15, agent.stop)
             await agent.run(stack)
 
     async def run(self, stack: AsyncExitStack) -> None:
         """Serves entries and follows the platform until stopped."""
-        await stack.enter_async_context(AdminServer(self, self.settings.admin_listen))
+        server = AdminServer(self, self.settings.admin_listen)
+        add_status(server.application, self)
+        await stack.enter_async_context(server)
+        await self.network.open(stack)
         await stack.enter_async_context(
             serve(
                 self._serve_entry,
                 self.settings.entry_listen.host,
                 self.settings.entry_listen.port,
                 max_size=MAX_MESSAGE_BYTES,
+                ping_interval=ENTRY_PING_INTERVAL_S,
+                ping_timeout=ENTRY_PING_INTERVAL_S,
             )
         )
         tasks = [
-            asyncio.create_task(self._reader.run()),
+            asyncio.create_task(self.role.run()),
             asyncio.create_task(self._poll_list()),
         ]
         for task in tasks:
             stack.callback(task.cancel)
         logger.info("agent started", extra={"instance": self.settings.instance})
         await self._stopping.wait()
+        await self.network.leave()
 
     def stop(self) -> None:
         """Ends the process."""
@@ -89,19 +115,19 @@
         """Returns whether the agent has synchronised and is not stopping."""
         return self.synchronized and not self._stopping.is_set()
 
-    def raise_watermark(self, revision: int) -> None:
-        """Notes that the table is complete up to a store revision."""
-        if self.synchronized and revision <= self.watermark:
-            return
-        self.synchronized = True
-        self.watermark = max(self.watermark, revision)
-        for link in self.entry_links:
-            link.send_watermark(self.watermark)
+    @property
+    def synchronized(self) -> bool:
+        """Whether the table was complete once."""
+        return self.progress.synchronized
+
+    @property
+    def watermark(self) -> int:
+        """The store revision that the table is complete up to."""
+        return self.progress.watermark
 
     def get_in_force(self) -> int:
         """Returns the store revision that every entry of this instance has applied."""
-        applied = [link.applied_revision for link in self.entry_links]
-        return min([self.watermark, *applied])
+        return self.in_force.revision
 
     def dump_state(self) -> dict[str, Any]:
         """Returns the state of the process as a JSON object."""
@@ -127,25 +153,40 @@
             "directory": [
                 instance._asdict() for instance in self.directory.instances.values()
             ],
+            "reader": self.role.is_reading,
+            "peers": self.network.dump(),
             "entries": {link.entry: link.applied_revision for link in self.entry_links},
         }
 
     async def _serve_entry(self, connection: ServerConnection) -> None:
         link = EntryLink(self, connection)
-        self.entry_links.add(link)
         try:
             await link.run()
         finally:
             self.entry_links.discard(link)
+            self.in_force.lose(link)
 
     async def _poll_list(self) -> None:
         while True:
             try:
-                self.directory.replace(await self._instances.read())
+                self._take_list(await self._instances.read())
             except InstanceListError as error:
                 logger.warning("instance list cannot be read: {}", error)
             await asyncio.sleep(LIST_POLL_INTERVAL_S)
 
+    def _take_list(self, instances: tuple[Instance, ...]) -> None:
+        self.directory.replace(instances)
+        self.network.set_candidates(
+            str(instance.address)
+            for instance in instances
+            if instance.service == AGENT_SERVICE and instance.state == "live"
+        )
+        self.role.list_is_known = True
+
+    def _spread_watermark(self, revision: Any) -> None:
+        for link in self.entry_links:
+            link.send_watermark(revision)
+
     def _spread_record(self, record: Any) -> None:
         for link in self.entry_links:
             link.send_record(record)
--- a/src/verbenacross/agent/entry_link.py
+++ b/src/verbenacross/agent/entry_link.py
@@ -9,6 +9,7 @@
 from websockets.exceptions import ConnectionClosed
 
 from ..protocol import ProtocolError, decode_message, encode_message
+from ..protocol.batches import batch_records
 from ..protocol.messages import (
     AppliedWatermark,
     DirectoryUpdates,
@@ -79,10 +80,14 @@
         if not isinstance(hello, EntryHello):
             raise ProtocolError(f"expected EntryHello, got {type(hello).__name__}")
         self.entry = hello.entry
-        self.send(RecordCopies(tuple(self._agent.table.get_copies())))
+        for batch in batch_records(self._agent.table.get_copies()):
+            self.send(batch)
         self.send(self._agent.directory.build_complete())
         if self._agent.synchronized:
             self.send_watermark(self._agent.watermark)
+        # Changes follow the snapshot; a watermark that came before it would be false.
+        self._agent.entry_links.add(self)
+        self._agent.in_force.add(self)
 
     async def _send_queued(self) -> None:
         while True:
@@ -92,8 +97,16 @@
     async def _receive(self) -> None:
         async for frame in self._connection:
             match decode_message(frame):
+                case RecordCopies(records=records):
+                    self._agent.progress.take(records)
                 case AppliedWatermark(revision=revision):
-                    self.applied_revision = max(self.applied_revision, revision)
+                    self._take_applied(revision)
                 case message:
                     raise ProtocolError(f"unexpected {type(message).__name__}")
         raise ConnectionClosed(None, None)
+
+    def _take_applied(self, revision: int) -> None:
+        self.applied_revision = max(self.applied_revision, revision)
+        # An entry that outlived the agent has sent all its records before this.
+        self._agent.progress.raise_to(revision)
+        self._agent.in_force.update()
--- /dev/null
+++ b/src/verbenacross/agent/status.py
@@ -0,0 +1,46 @@
+"""What operators ask of an agent: members and findings."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from .agent import Agent
+
+
+def add_status(application: web.Application, agent: Agent) -> None:
+    """Adds ``GET /status`` to the admin server of an agent."""
+
+    async def serve_status(request: web.Request) -> web.Response:
+        return web.json_response(build_status(agent))
+
+    application.router.add_get("/status", serve_status)
+
+
+def build_status(agent: Agent) -> dict[str, Any]:
+    """Returns members, their revisions in force and findings as a JSON object.
+
+    ``store_age_ms`` is the age of this agent's last answer from the store, ``null``
+    when it does not read the store.
+    """
+    reader = agent.role.reader
+    last_answer = reader.last_answer if agent.role.is_reading else None
+    findings = [*agent.table.get_findings(), *reader.findings]
+    return {
+        "instance": agent.settings.instance,
+        "synchronized": agent.synchronized,
+        "watermark": agent.watermark,
+        "in_force": agent.get_in_force(),
+        "isolated": agent.network.is_isolated(),
+        "reader": agent.role.is_reading,
+        "store_age_ms": None
+        if last_answer is None
+        else int((time.monotonic() - last_answer) * 1_000),
+        "members": [
+            member._asdict() for member in agent.network.members.members.values()
+        ],
+        "findings": [str(finding) for finding in findings],
+    }
--- a/src/verbenacross/entry/agent_link.py
+++ b/src/verbenacross/entry/agent_link.py
@@ -11,6 +11,7 @@
 from websockets.exceptions import WebSocketException
 
 from ..protocol import ProtocolError, decode_message, encode_message
+from ..protocol.batches import batch_records
 from ..protocol.codec import MAX_MESSAGE_BYTES
 from ..protocol.messages import (
     PROTOCOL_VERSION,
@@ -29,6 +30,7 @@
     from ..upstreams import UpstreamDirectory
 
 MAX_RECONNECT_DELAY_S = 0.5
+PING_INTERVAL_S = 1.0
 
 logger = logbook.Logger("verbenacross.entry.agent_link")
 
@@ -61,14 +63,27 @@
 
     async def _follow(self) -> None:
         async with connect(
-            f"ws://{self._settings.agent}", max_size=MAX_MESSAGE_BYTES, proxy=None
+            f"ws://{self._settings.agent}",
+            max_size=MAX_MESSAGE_BYTES,
+            proxy=None,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_INTERVAL_S,
         ) as connection:
             hello = EntryHello(PROTOCOL_VERSION, self._settings.instance)
             await connection.send(encode_message(hello))
+            await self._send_known(connection)
             self.connected = True
             async for frame in connection:
                 await self._take(connection, frame)
 
+    async def _send_known(self, connection: ClientConnection) -> None:
+        """Sends what this entry has in force to an agent that may have restarted."""
+        if not self.synchronized:
+            return
+        for batch in batch_records(self._table.get_copies()):
+            await connection.send(encode_message(batch))
+        await connection.send(encode_message(AppliedWatermark(self.watermark)))
+
     async def _take(self, connection: ClientConnection, frame: bytes | str) -> None:
         match decode_message(frame):
             case RecordCopies(records=records):
--- /dev/null
+++ b/standins/fault_proxy.py
@@ -0,0 +1,202 @@
+"""TCP proxy that injects faults into connections.
+
+Listens on ``--port`` and forwards each connection to ``--target``. ``POST /control`` on
+``--control-port`` sets faults for the connections of now and later; a body with
+``"connections": "open"`` sets them only for those that are open, ``"new"`` only for
+later ones. Faults, each with its neutral value:
+
+- ``delay_ms`` (0): delay of each chunk, in both directions;
+- ``cut`` ("none"): direction that passes nothing: ``to_target``, ``to_client``;
+- ``silent`` (false): nothing passes, the connections stay open;
+- ``cut_after_bytes`` (null): breaks the connection after N bytes to the client;
+- ``refuse`` (false): new connections are closed at once.
+
+``POST /reset`` breaks every open connection. ``GET /connections`` lists connections
+with the bytes that passed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import socket
+import struct
+from typing import Any, Literal
+
+from aiohttp import web
+
+CHUNK_BYTES = 65_536
+MS_PER_S = 1_000
+LINGER_RESET = struct.pack("ii", 1, 0)
+Direction = Literal["to_target", "to_client"]
+
+
+def build_faults() -> dict[str, Any]:
+    """Returns the faults of an undisturbed connection."""
+    return {
+        "delay_ms": 0,
+        "cut": "none",
+        "silent": False,
+        "cut_after_bytes": None,
+        "refuse": False,
+    }
+
+
+class ProxiedConnection:
+    """A connection of a client with its connection to the target."""
+
+    def __init__(
+        self,
+        client: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        target: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        faults: dict[str, Any],
+    ) -> None:
+        self.client = client
+        self.target = target
+        self.faults = faults
+        self.passed = {"to_target": 0, "to_client": 0}
+
+    async def run(self) -> None:
+        """Forwards both directions until one of them ends."""
+        tasks = [
+            asyncio.create_task(
+                self.forward(self.client[0], self.target[1], "to_target")
+            ),
+            asyncio.create_task(
+                self.forward(self.target[0], self.client[1], "to_client")
+            ),
+        ]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            for _, writer in (self.client, self.target):
+                writer.close()
+
+    async def forward(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: Direction,
+    ) -> None:
+        """Forwards one direction; a silent or cut one drops what arrives."""
+        while chunk := await reader.read(CHUNK_BYTES):
+            if self.faults["delay_ms"]:
+                await asyncio.sleep(self.faults["delay_ms"] / MS_PER_S)
+            if self.faults["silent"] or self.faults["cut"] == direction:
+                continue
+            limit = self.faults["cut_after_bytes"]
+            if direction == "to_client" and limit is not None:
+                chunk = chunk[: max(0, limit - self.passed[direction])]
+            writer.write(chunk)
+            await writer.drain()
+            self.passed[direction] += len(chunk)
+            is_limited = direction == "to_client" and limit is not None
+            if is_limited and self.passed[direction] >= limit:
+                return self.reset()
+
+    def reset(self) -> None:
+        """Breaks both connections with a TCP reset."""
+        for _, writer in (self.client, self.target):
+            connection = writer.get_extra_info("socket")
+            if connection is not None:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            writer.transport.abort()
+
+
+class FaultProxy:
+    """Forwards connections to one target and injects the faults that are set."""
+
+    def __init__(self, host: str, target: tuple[str, int]) -> None:
+        self.host = host
+        self.target = target
+        self.faults = build_faults()
+        self.connections: set[ProxiedConnection] = set()
+
+    def build_application(self) -> web.Application:
+        """Returns the HTTP application that controls the proxy."""
+        application = web.Application()
+        application.add_routes(
+            [
+                web.post("/control", self.set_faults),
+                web.post("/reset", self.reset_connections),
+                web.get("/connections", self.list_connections),
+            ]
+        )
+        return application
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection."""
+        if self.faults["refuse"]:
+            writer.transport.abort()
+            return
+        try:
+            target = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        connection = ProxiedConnection((reader, writer), target, dict(self.faults))
+        self.connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self.connections.discard(connection)
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Sets faults."""
+        changes = await request.json()
+        scope = changes.pop("connections", "all")
+        unknown = changes.keys() - self.faults.keys()
+        if unknown:
+            return web.json_response({"unknown": sorted(unknown)}, status=400)
+        if scope in ("all", "new"):
+            self.faults.update(changes)
+        if scope in ("all", "open"):
+            for connection in self.connections:
+                connection.faults.update(changes)
+        return web.json_response(self.faults)
+
+    async def reset_connections(self, request: web.Request) -> web.Response:
+        """Breaks every open connection."""
+        for connection in list(self.connections):
+            connection.reset()
+        return web.json_response({})
+
+    async def list_connections(self, request: web.Request) -> web.Response:
+        """Lists the open connections."""
+        return web.json_response(
+            [
+                {"passed": connection.passed, "faults": connection.faults}
+                for connection in self.connections
+            ]
+        )
+
+
+async def run(arguments: argparse.Namespace) -> None:
+    """Runs proxy and control server until the process is ended."""
+    host, _, port = arguments.target.rpartition(":")
+    proxy = FaultProxy(arguments.host, (host, int(port)))
+    runner = web.AppRunner(proxy.build_application(), access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, arguments.host, arguments.control_port).start()
+    server = await asyncio.start_server(proxy.serve, arguments.host, arguments.port)
+    async with server:
+        await server.serve_forever()
+
+
+def main() -> None:
+    """Runs the proxy."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--control-port", type=int, required=True)
+    parser.add_argument("--target", required=True)
+    asyncio.run(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/agent/test_store_reader.py
@@ -0,0 +1,274 @@
+"""The reader of the store against a model of the store with its faults."""
+
+import asyncio
+import json
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from verbenacross.agent.store_reader import MAX_BACKOFF_S, StoreReader, draw_backoff_s
+from verbenacross.platform import (
+    StoreConflictError,
+    StoredValue,
+    StoreError,
+    StoreSnapshot,
+    StoreUnavailableError,
+)
+from verbenacross.policy import PolicyTable, TableProgress
+
+KEYS = [f"policies/cuepublish/{version}" for version in (1, 2)]
+
+
+class ModelStore:
+    """Store in memory; ``fault`` applies to the next call."""
+
+    def __init__(self):
+        self.revision = 0
+        self.entries = {}
+        self.events = []
+        self.oldest = 0
+        self.history = [(0, {})]
+        self.fault = None
+
+    def write(self, key, value):
+        self.revision += 1
+        self.entries.pop(key, None)
+        if value is not None:
+            self.entries[key] = StoredValue(key, value, self.revision)
+        self.events.append(StoredValue(key, value, self.revision))
+        self.history.append((self.revision, dict(self.entries)))
+        return self.revision
+
+    def go_back(self, steps):
+        """Restores an older state, as from a backup."""
+        self.history = self.history[: max(1, len(self.history) - steps)]
+        self.revision, entries = self.history[-1]
+        self.entries = dict(entries)
+        self.events = []
+        self.oldest = self.revision
+
+    def take_fault(self):
+        fault, self.fault = self.fault, None
+        if fault == "down":
+            raise StoreUnavailableError("down")
+        return fault
+
+    async def get(self, key):
+        self.take_fault()
+        return self.entries.get(key)
+
+    async def read_prefix(self, prefix):
+        index = -3 if self.take_fault() == "stale" else -1
+        revision, entries = self.history[max(index, -len(self.history))]
+        values = [value for key, value in entries.items() if key.startswith(prefix)]
+        return StoreSnapshot(revision, tuple(values))
+
+    async def watch(self, prefix, revision, wait_ms):
+        fault = self.take_fault()
+        if revision > self.revision or revision < self.oldest:
+            raise StoreError("gone")
+        if fault == "stale":
+            revision = max(self.oldest, revision - 3)
+        events = [each for each in self.events if each.revision > revision]
+        shown = tuple(each for each in events if each.key.startswith(prefix))
+        return StoreSnapshot(self.revision, shown)
+
+    async def put(self, key, value, expected, lease=None):
+        fault = self.take_fault()
+        current = self.entries[key].revision if key in self.entries else 0
+        if current != expected:
+            raise StoreConflictError(key, expected, current)
+        revision = self.write(key, value)
+        if fault == "lost":
+            raise StoreUnavailableError("the answer was lost")
+        return revision
+
+
+def build_body(key, kind):
+    if kind == "invalid":
+        return b"{}"
+    version = int(key.rpartition("/")[2])
+    policy = {"schema_version": 1, "service": "cuepublish", "version": version}
+    return json.dumps({**policy, "state": kind}).encode()
+
+
+class ReaderMachine(RuleBasedStateMachine):
+    """Operators write, the store fails, and one reader follows or starts anew."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = ModelStore()
+        self.has_lost_writes = False
+        self.lost_keys = set()
+        self.is_saved = False
+        self.start()
+
+    def start(self):
+        self.progress = TableProgress(PolicyTable())
+        self.table = self.progress.table
+        self.reader = StoreReader(
+            self.store, self.progress, self.progress.raise_to, lambda: True
+        )
+        self.ranks = {}
+        self.watermark = 0
+
+    def call(self, action):
+        async def run():
+            try:
+                await action()
+            except StoreError:
+                return False
+            return True
+
+        return asyncio.run(run())
+
+    @rule(
+        key=strategies.sampled_from(KEYS),
+        kind=strategies.sampled_from(["active", "active", "retired", "invalid"]),
+    )
+    def write(self, key, kind):
+        self.store.write(key, build_body(key, kind))
+        self.lost_keys.discard(key)
+        self.is_saved = False
+
+    @rule(key=strategies.sampled_from(KEYS))
+    def delete(self, key):
+        if key in self.store.entries:
+            self.store.write(key, None)
+            self.is_saved = False
+
+    @rule(fault=strategies.sampled_from(["down", "stale", "lost"]))
+    def fail_next_call(self, fault):
+        self.store.fault = fault
+
+    @rule()
+    def drop_old_events(self):
+        self.store.oldest = self.store.revision
+        self.store.events = []
+
+    @rule(steps=strategies.integers(1, 4))
+    def lose_writes(self, steps):
+        self.store.go_back(steps)
+        self.has_lost_writes = True
+        self.store.fault = None
+        states = {key: policy.state for key, policy in self.table.policies.items()}
+        assert self.call(self.reader._read_all)
+        self.is_saved = True
+        # A deletion that the store still knows of may take effect at this read.
+        self.lost_keys = {
+            key
+            for key, state in states.items()
+            if state == "active"
+            and key not in self.store.entries
+            and self.table.valid[key].revision > self.store.revision
+        }
+        self.keep_lost_records()
+
+    @rule()
+    def watch(self):
+        self.call(self.reader._watch_once)
+
+    @rule()
+    def read(self):
+        self.call(self.reader._read_all)
+
+    @rule()
+    def read_without_fault(self):
+        self.store.fault = None
+        revision = self.store.revision
+        assert self.call(self.reader._read_all)
+        self.is_saved = True
+        assert self.progress.watermark >= revision
+        for key in KEYS:
+            self.check_in_force(key)
+
+        self.keep_lost_records()
+
+    def keep_lost_records(self):
+        for key in self.lost_keys:
+            assert self.table.policies[key].state == "active"
+
+    def check_in_force(self, key):
+        entry = self.store.entries.get(key)
+        policy = self.table.policies.get(key)
+        if entry is None and policy is not None and not self.has_lost_writes:
+            assert policy.state == "retired"
+        if entry is None or entry.value == b"{}":
+            return
+        valid = self.table.valid[key]
+        if policy.state == "active" or b"retired" not in valid.body:
+            assert valid.revision >= entry.revision
+        assert b"retired" not in entry.value or policy.state == "retired"
+
+    @precondition(lambda self: self.is_saved)
+    @rule()
+    def restart_every_instance(self):
+        before = dict(self.table._ranks)
+        self.start()
+        self.store.fault = None
+        assert self.call(self.reader._read_all)
+        for key, rank in before.items():
+            assert self.table._ranks[key] >= rank, key
+        self.keep_lost_records()
+
+    @invariant()
+    def nothing_in_force_reverts(self):
+        for key, rank in self.ranks.items():
+            assert self.table._ranks[key] >= rank, key
+        self.ranks = dict(self.table._ranks)
+        assert self.progress.watermark >= self.watermark
+        self.watermark = self.progress.watermark
+
+
+ReaderMachine.TestCase.settings = settings(
+    max_examples=120, stateful_step_count=25, deadline=None, derandomize=True
+)
+TestReader = ReaderMachine.TestCase
+
+
+def test_backoff_spreads_the_readers():
+    """Guards against readers that return to the store together after an outage."""
+    delays = [draw_backoff_s(10) for _ in range(400)]
+    assert max(delays) <= MAX_BACKOFF_S
+    slices = [
+        sum(low / 4 <= delay / MAX_BACKOFF_S < (low + 1) / 4 for delay in delays)
+        for low in range(4)
+    ]
+    assert min(slices) > 50
+    assert max(draw_backoff_s(1) for _ in range(100)) <= 0.4
+
+
+def run_reads(machine, *steps):
+    for step in steps:
+        step()
+        machine.read_without_fault()
+        machine.nothing_in_force_reverts()
+
+
+def test_deletion_that_nobody_watched_retires_the_record():
+    """Guards a deletion whose event the store dropped before a reader saw it."""
+    machine = ReaderMachine()
+    run_reads(
+        machine,
+        lambda: machine.write(KEYS[0], "active"),
+        lambda: machine.delete(KEYS[0]),
+    )
+    assert machine.table.policies[KEYS[0]].state == "retired"
+
+
+def test_record_that_the_store_lost_stays_in_force():
+    """Guards a record that a restored store lacks, also once the store has grown."""
+    machine = ReaderMachine()
+    run_reads(
+        machine,
+        lambda: machine.write(KEYS[0], "active"),
+        lambda: machine.lose_writes(1),
+        lambda: [machine.write(KEYS[1], "active") for _ in range(4)],
+        machine.restart_every_instance,
+    )
+    assert machine.table.policies[KEYS[0]].state == "active"
