--- a/measure/knowledge.py
+++ b/measure/knowledge.py
@@ -67,9 +67,9 @@
     process = fleet.processes[f"{name}-agent"]
     with open(f"/proc/{process.pid}/stat") as file:
         fields = file.read().rpartition(")")[2].split()
-    peers = fleet.read_state(name)["peers"]
+    moved = fleet.read_state(name)["peers"]["bytes"]
     cpu_s = (int(fields[11]) + int(fields[12])) / TICKS_PER_S
-    return Usage(cpu_s, int(peers["sent_bytes"]), int(peers["received_bytes"]))
+    return Usage(cpu_s, int(moved["sent"]), int(moved["received"]))
 
 
 def measure_use(fleet: Fleet, names: Sequence[str]) -> dict[str, float]:
--- a/src/verbenacross/agent/directory_sync.py
+++ b/src/verbenacross/agent/directory_sync.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import logbook
+from reactivex.subject import Subject
 
 from ..platform.exceptions import InstanceListError
 from ..protocol.messages import MAX_IDENTIFIER_CHARACTERS, DirectoryUpdates
@@ -43,6 +44,7 @@
 
     Changes are broadcast at once. Every ``DIGEST_INTERVAL_S`` each agent sends its
     digest on its links; on a mismatch the two agents exchange the differing buckets.
+    ``readings`` emits the number of listed instances after each reading.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         self._replica = replica
         self._reader = ListReader(replica, settings.instance)
         self._sender = sender
+        self.readings: Subject[int] = Subject()
         self._last_reading: tuple[Instance, ...] | None = None
         self._usable: tuple[Instance, ...] = ()
         self._asked_at = -ASK_INTERVAL_S
@@ -121,6 +124,7 @@
             self._last_reading = reading
             self._usable = self._drop_unusable(reading)
         taken = self._reader.take(self._usable)
+        self.readings.on_next(len(self._usable))
         if taken and not was_empty:
             self._broadcast(taken)
 
--- a/src/verbenacross/entry/agent_link.py
+++ b/src/verbenacross/entry/agent_link.py
@@ -12,6 +12,7 @@
 from websockets.exceptions import WebSocketException
 
 from ..protocol import ProtocolError, decode_message, encode_message
+from ..protocol.batches import batch_records
 from ..protocol.codec import MAX_MESSAGE_BYTES
 from ..protocol.messages import (
     PROTOCOL_VERSION,
@@ -36,6 +37,7 @@
 MAX_QUEUED_MESSAGES = 4_096
 MAX_PART_OBSERVATIONS = 1_000
 SPREAD_KINDS: tuple[ObservationKind, ...] = ("draining", "ejected", "cold")
+PING_INTERVAL_S = 1.0
 
 logger = logbook.Logger("verbenacross.entry.agent_link")
 
@@ -85,11 +87,16 @@
 
     async def _follow(self) -> None:
         async with connect(
-            f"ws://{self._settings.agent}", max_size=MAX_MESSAGE_BYTES, proxy=None
+            f"ws://{self._settings.agent}",
+            max_size=MAX_MESSAGE_BYTES,
+            proxy=None,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_INTERVAL_S,
         ) as connection:
             hello = EntryHello(PROTOCOL_VERSION, self._settings.instance)
             await connection.send(encode_message(hello))
             self._queue = asyncio.Queue(MAX_QUEUED_MESSAGES)
+            await self._send_known(connection)
             self.connected = True
             self._report(tuple(self._observations.build(*SPREAD_KINDS)))
             async with asyncio.TaskGroup() as tasks:
@@ -98,6 +105,14 @@
                     self._take(frame)
                 sending.cancel()
 
+    async def _send_known(self, connection: ClientConnection) -> None:
+        """Sends what this entry has in force to an agent that may have restarted."""
+        if not self.synchronized:
+            return
+        for batch in batch_records(self._table.get_copies()):
+            await connection.send(encode_message(batch))
+        await connection.send(encode_message(AppliedWatermark(self.watermark)))
+
     async def _send_queued(self, connection: ClientConnection) -> None:
         while True:
             message = await self._queue.get()
