--- a/src/verbenacross/entry/exchange.py
+++ b/src/verbenacross/entry/exchange.py
@@ -182,7 +182,8 @@
             return None
         finally:
             latency_s = time.monotonic() - started
-            self._gate.release(upstream, outcome._replace(latency_s=latency_s))
+            outcome = outcome._replace(latency_s=latency_s)
+            self._gate.release(self._context, upstream, outcome)
 
     def _limit_silence(
         self, limit: asyncio.Timeout, guard: AttemptGuard
--- a/src/verbenacross/limits/service_gate.py
+++ b/src/verbenacross/limits/service_gate.py
@@ -12,7 +12,6 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from ..policy import Policy
     from ..routing import AttemptOutcome, RequestContext, ServiceRouter, UpstreamState
     from ..upstreams import ObservationReporter
     from .permit_client import PermitClient
@@ -30,10 +29,10 @@
 class ServiceGate:
     """Admits requests of one service and gives each an upstream.
 
-    Every upstream that ``acquire`` returns must be given back with ``release`` in the
-    same task. A request waits in the entry while no upstream has room, in order of
-    priority and then of deadline. It is refused as soon as it cannot be answered in
-    time. Long work waits for a permit instead.
+    Every upstream that ``acquire`` returns must be given back with ``release``. A
+    request waits in the entry while no upstream has room, in order of priority and then
+    of deadline. It is refused as soon as it cannot be answered in time. Long work waits
+    for a permit instead.
     """
 
     def __init__(
@@ -48,9 +47,7 @@
         self._service = service
         self._permits = permits
         self._reporter = reporter
-        self._contexts: dict[tuple[object, str], RequestContext] = {}
         self._queue = RequestQueue()
-        self._policy: Policy | None = None
         self._recheck: asyncio.TimerHandle | None = None
 
     @property
@@ -74,27 +71,25 @@
 
         Raises ``RefusedError`` (not run) when the request cannot be answered in time.
         """
-        self._policy = context.policy
         if context.request_class.size == "long":
             upstream = await self._acquire_long(context, excluded)
         else:
             upstream = await self._acquire_short(context, excluded)
             self._permits.note_short(context, upstream.instance.id)
-        self._contexts[asyncio.current_task(), upstream.instance.id] = context
         return upstream
 
-    def release(self, upstream: UpstreamState, outcome: AttemptOutcome) -> None:
+    def release(
+        self,
+        context: RequestContext,
+        upstream: UpstreamState,
+        outcome: AttemptOutcome,
+    ) -> None:
         """Gives an upstream back with what the attempt showed."""
         identifier = upstream.instance.id
-        context = self._contexts.pop((asyncio.current_task(), identifier), None)
-        if context is not None:
-            self._permits.release(context, identifier)
-        self.router.finish(upstream, outcome, self._policy)
-        if self._policy is not None:
-            cold_start_ms = self._policy.upstreams.cold_start_ms
-            self._reporter.note_state(
-                identifier, outcome.announced_state, cold_start_ms
-            )
+        self._permits.release(context, identifier)
+        self.router.finish(upstream, outcome, context.policy)
+        cold_start_ms = context.policy.upstreams.cold_start_ms
+        self._reporter.note_state(identifier, outcome.announced_state, cold_start_ms)
         if self._queue:
             self.dispatch()
 
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -94,6 +94,7 @@
         IDENTIFIERS,
         st.integers(min_value=0),
         st.lists(IDENTIFIERS, max_size=3).map(tuple),
+        st.integers(min_value=0),
     ),
 )
 
--- a/tests/routing/builders.py
+++ b/tests/routing/builders.py
@@ -2,6 +2,7 @@
 
 import random
 
+from verbenacross.limits import PermitClient, ServiceGate
 from verbenacross.platform.instance_list import Instance
 from verbenacross.policy.policy import (
     LimitOptions,
@@ -12,6 +13,7 @@
 )
 from verbenacross.routing import AttemptOutcome, RequestContext, ServiceRouter
 from verbenacross.settings import Address
+from verbenacross.upstreams import ObservationReporter, ObservationTable
 
 
 class Clock:
@@ -64,3 +66,9 @@
     answer = AttemptOutcome(latency_s, **outcome)
     router.finish(state, answer, context.policy)
     return state.instance.id
+
+
+def build_service_gate(router):
+    """Returns a gate whose messages to the agent go nowhere."""
+    reporter = ObservationReporter(ObservationTable(router.clock), "entry-0")
+    return ServiceGate("s", router, PermitClient(lambda message: None), reporter)
