--- a/tests/integration/test_upstream_knowledge.py
+++ b/tests/integration/test_upstream_knowledge.py
@@ -47,6 +47,13 @@
     return status, answered
 
 
+def read_draining(fleet: Fleet, name: str) -> list[str]:
+    try:
+        return list(fleet.read_state(name, "entry")["draining"])
+    except OSError:
+        return []
+
+
 def find_holder(fleet: Fleet, names: Any = NAMES) -> str | None:
     for name in names:
         if fleet.read_state(name)["knowledge"]["owned_services"] == ["web"]:
@@ -63,7 +70,7 @@
 
 def keep_sending(fleet: Fleet, name: str, path: str, until: float, ms: str) -> None:
     while time.time() < until:
-        get(fleet, name, path, **{"X-Work-Ms": ms, "Request-Timeout-Ms": "20000"})
+        get(fleet, name, path, **{"X-Work-Ms": ms, "Request-Timeout-Ms": "8000"})
 
 
 def send_from_all(fleet: Fleet, seconds: float, ms: str) -> list[threading.Thread]:
@@ -126,6 +133,8 @@
         assert len(fleet.read_ledger("web-0")["ran"]) == before
         shown = [i for i in fleet.read_state("one")["directory"] if i["id"] == "web-0"]
         assert shown[0]["state"] == "live", "the list must still lag"
+        fleet.add_instance("four")
+        fleet.wait_until(lambda: "web-0" in read_draining(fleet, "four"))
 
 
 def test_probe_budget_holds_in_every_second_under_faults() -> None:
