Give up requests that are never released, and note cold starts

Cause: a request whose release is missed would renew its permit for ever, and an entry passed no ramp for an upstream that announces a cold start, so it was not observed.

Change: PermitClient returns the slot of a request 600 s after its deadline and logs an error; ServiceGate passes cold_start_ms of the request's policy.

Proof: tests/limits/test_permit_client.py fails without the end of a request (disabled, run, restored).

--- a/src/verbenacross/limits/permit_client.py
+++ b/src/verbenacross/limits/permit_client.py
@@ -8,6 +8,8 @@
 import uuid
 from typing import TYPE_CHECKING
 
+import logbook
+
 from ..protocol.messages import (
     PermitGrant,
     PermitRelease,
@@ -30,18 +32,28 @@
 SWEEP_INTERVAL_S = 0.25
 GRANT_MARGIN_MS = 500
 MAX_SEQUENCES = 8
+# Work may outlive its deadline while it streams its answer or is cancelled.
+MAX_OVERRUN_S = 600.0
+
+logger = logbook.Logger("verbenacross.limits.permit_client")
 
 
 class RunningWork:
-    """A request on an upstream, with or without a permit."""
+    """A request on an upstream, with or without a permit.
 
-    __slots__ = ("due_at", "permit", "reported", "service", "upstream")
+    ``ends_at`` is the latest moment at which it may run, on the monotonic clock.
+    """
 
-    def __init__(self, service: str, upstream: str, due_at: float) -> None:
+    __slots__ = ("due_at", "ends_at", "permit", "reported", "service", "upstream")
+
+    def __init__(
+        self, service: str, upstream: str, due_at: float, ends_at: float
+    ) -> None:
         self.permit = ""
         self.service = service
         self.upstream = upstream
         self.due_at = due_at
+        self.ends_at = ends_at
         self.reported = False
 
 
@@ -122,18 +134,15 @@
             del self._pending[pending.permit]
             if upstream is None:
                 self._send(PermitRelease(pending.permit, context.service))
-        work = RunningWork(context.service, upstream, self._clock())
+        work = self._start(context, upstream, 0.0)
         work.permit = pending.permit
         work.reported = True
         self._report(work)
-        self._running[context.request_id, upstream].append(work)
         return upstream
 
     def note_short(self, context: RequestContext, upstream: str) -> None:
         """Notes that a request without a permit starts on an upstream."""
-        after_s = context.policy.limits.long_after_ms / MS_PER_S
-        work = RunningWork(context.service, upstream, self._clock() + after_s)
-        self._running[context.request_id, upstream].append(work)
+        self._start(context, upstream, context.policy.limits.long_after_ms / MS_PER_S)
 
     def release(self, context: RequestContext, upstream: str) -> None:
         """Notes that the request's work on an upstream has ended."""
@@ -154,11 +163,17 @@
             pending.take(grant, self._clock())
 
     def report_due(self) -> None:
-        """Renews permits and reports requests that turned out long."""
+        """Renews permits and reports requests that turned out long.
+
+        A request that was not released ``MAX_OVERRUN_S`` after its deadline is given
+        up, as its permit would otherwise be renewed for ever.
+        """
         now = self._clock()
-        for group in self._running.values():
-            for work in group:
-                if now >= work.due_at:
+        for key, group in list(self._running.items()):
+            for work in list(group):
+                if now >= work.ends_at:
+                    self._give_up(key, work)
+                elif now >= work.due_at:
                     self._report(work)
 
     def dump_state(self) -> dict[str, int]:
@@ -186,6 +201,25 @@
         title = f"Service {context.service!r} has no free slot for long work"
         raise refuse_not_run(503, "no-long-slot", title)
 
+    def _start(
+        self, context: RequestContext, upstream: str, after_s: float
+    ) -> RunningWork:
+        now = self._clock()
+        ends_at = now + context.get_remaining_ms() / MS_PER_S + MAX_OVERRUN_S
+        work = RunningWork(context.service, upstream, now + after_s, ends_at)
+        self._running[context.request_id, upstream].append(work)
+        return work
+
+    def _give_up(self, key: tuple[str, str], work: RunningWork) -> None:
+        logger.error(
+            "a request on {} was never released", work.upstream, extra={"id": key[0]}
+        )
+        self._running[key].remove(work)
+        if not self._running[key]:
+            del self._running[key]
+        if work.reported:
+            self._send(PermitRelease(work.permit, work.service))
+
     def _report(self, work: RunningWork) -> None:
         if not work.permit:
             work.permit = self._issue()
--- a/src/verbenacross/limits/service_gate.py
+++ b/src/verbenacross/limits/service_gate.py
@@ -57,9 +57,11 @@
         upstream.in_flight -= 1
         identifier = upstream.instance.id
         context = self._contexts.pop((asyncio.current_task(), identifier), None)
+        cold_start_ms = 0
         if context is not None:
             self._permits.release(context, identifier)
-        self._reporter.note_state(identifier, outcome.announced_state)
+            cold_start_ms = context.policy.upstreams.cold_start_ms
+        self._reporter.note_state(identifier, outcome.announced_state, cold_start_ms)
         if outcome.load is not None:
             upstream.reported_in_flight = outcome.load.in_flight
 
--- a/tests/limits/test_permit_client.py
+++ b/tests/limits/test_permit_client.py
@@ -6,6 +6,7 @@
 
 from tests.fake_clock import FakeClock
 from verbenacross.limits import PermitClient
+from verbenacross.limits.permit_client import MAX_OVERRUN_S
 from verbenacross.policy import Policy
 from verbenacross.policy.policy import RequestClass
 from verbenacross.protocol.messages import (
@@ -110,3 +111,15 @@
     link.client.note_short(context, "u1")
     link.client.release(context, "u1")
     assert len(link.sent) == 2
+
+
+async def test_request_that_is_never_released_is_given_up():
+    """Guards against a slot that a lost request keeps for ever."""
+    link = Link()
+    link.client.note_short(build_context(), "u1")
+    link.clock.now += 2
+    link.client.report_due()
+    link.clock.now += MAX_OVERRUN_S + 5
+    link.client.report_due()
+    assert link.find(PermitRelease)
+    assert link.client.dump_state()["running"] == 0
