--- a/tests/integration/test_upstream_knowledge.py
+++ b/tests/integration/test_upstream_knowledge.py
@@ -137,6 +137,20 @@
         fleet.wait_until(lambda: "web-0" in read_draining(fleet, "four"))
 
 
+def test_listed_change_reaches_every_entry_in_time() -> None:
+    """Guards leaving and return that only the readers of the list see."""
+    with start_fleet(0) as fleet:
+        for state, gets_work in (("leaving", False), ("live", True)):
+            fleet.set_instance_state("web-0", state)
+            time.sleep(DRAIN_LIMIT_S)
+            for name in NAMES:
+                before = len(fleet.read_ledger("web-0")["ran"])
+                for _ in range(20):
+                    assert get(fleet, name, "/web/x")[0] == 200
+                ran = len(fleet.read_ledger("web-0")["ran"]) - before
+                assert (ran > 0) == gets_work
+
+
 def test_probe_budget_holds_in_every_second_under_faults() -> None:
     """Guards the budget through kill, a pause past the lease, resume and restart."""
     with start_fleet(PROBE_RATE, with_entry=False) as fleet:
