--- a/src/verbenacross/console/application.py
+++ b/src/verbenacross/console/application.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 
 import cappa
-from rich.console import Console
 
 from .. import __version__
 from .command import Command
@@ -19,9 +18,9 @@
 from .commands.status import StatusCommand
 from .commands.validate import ValidateCommand
 from .exceptions import CommandError
+from .help_output import build_output
 
 EXIT_INTERRUPTED = 130
-UNWRAPPED_WIDTH = 10_000
 
 
 @cappa.command(name="verbenacross")
@@ -57,13 +56,6 @@
     return int(result.code)
 
 
-def build_output() -> cappa.Output:
-    """Returns where help goes; completion source must not be wrapped."""
-    if "--completion" not in " ".join(sys.argv):
-        return cappa.Output()
-    return cappa.Output(output_console=Console(width=UNWRAPPED_WIDTH, no_color=True))
-
-
 def main() -> None:
     """Runs a command of operators."""
     arguments = cappa.parse(Application, version=__version__, output=build_output())
--- a/src/verbenacross/observability/admin_server.py
+++ b/src/verbenacross/observability/admin_server.py
@@ -2,21 +2,37 @@
 
 from __future__ import annotations
 
+import functools
+import ipaddress
+import json
 from typing import TYPE_CHECKING, Any, Protocol
 
+import logbook
 from aiohttp import web
 from aioprometheus.renderer import render
 
+from .process_metrics import ProcessMetrics
+
 if TYPE_CHECKING:
+    from aiohttp.typedefs import Handler
     from aioprometheus import Registry
 
+    from ..policy import PolicyTable
     from ..settings import Address
 
+HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+
+logger = logbook.Logger("verbenacross.observability.admin_server")
+# A dump holds named tuples and addresses, which have a text of their own.
+dump_json = functools.partial(json.dumps, default=str)
+
 
 class Process(Protocol):
     """What the admin server shows of a process."""
 
     registry: Registry
+    table: PolicyTable
 
     def dump_state(self) -> dict[str, Any]:
         """Returns the state of the process as a JSON object."""
@@ -26,12 +42,16 @@
 
 
 class AdminServer:
-    """Serves ``/state``, ``/metrics`` and ``/ready`` on an address of its own."""
+    """Serves ``/state``, ``/metrics`` and ``/ready`` on an address of its own.
+
+    Entering it raises ``OSError`` when the address cannot be listened on.
+    """
 
     def __init__(self, process: Process, address: Address) -> None:
         self._process = process
         self._address = address
-        self.application = web.Application()
+        self._metrics = ProcessMetrics(process.registry, process.table)
+        self.application = web.Application(middlewares=[self._count_request])
         self.application.router.add_get("/state", self._serve_state)
         self.application.router.add_get("/metrics", self._serve_metrics)
         self.application.router.add_get("/ready", self._serve_ready)
@@ -40,20 +60,48 @@
     async def __aenter__(self) -> AdminServer:
         await self._runner.setup()
         site = web.TCPSite(self._runner, self._address.host, self._address.port)
-        await site.start()
+        try:
+            await site.start()
+        except OSError:
+            await self._runner.cleanup()
+            raise
+        if not ipaddress.ip_address(self._address.host).is_loopback:
+            logger.warning(
+                "admin endpoints are reachable from other machines",
+                extra={"admin_listen": str(self._address)},
+            )
         return self
 
     async def __aexit__(self, *exception: object) -> None:
         await self._runner.cleanup()
 
+    @web.middleware
+    async def _count_request(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        status = web.HTTPInternalServerError.status_code
+        resource = request.match_info.route.resource
+        try:
+            response = await handler(request)
+            status = response.status
+            return response
+        except web.HTTPException as error:
+            status = error.status
+            raise
+        finally:
+            path = resource.canonical if resource is not None else "other"
+            self._metrics.count_admin_request(path, status)
+
     async def _serve_state(self, request: web.Request) -> web.Response:
-        return web.json_response(self._process.dump_state())
+        return web.json_response(self._process.dump_state(), dumps=dump_json)
 
     async def _serve_metrics(self, request: web.Request) -> web.Response:
+        self._metrics.refresh(self._process.is_ready())
         accepts = request.headers.getall("Accept", [])
         body, headers = render(self._process.registry, accepts)
         return web.Response(body=body, headers=headers)
 
     async def _serve_ready(self, request: web.Request) -> web.Response:
         ready = self._process.is_ready()
-        return web.json_response({"ready": ready}, status=200 if ready else 503)
+        status = HTTP_OK if ready else HTTP_UNAVAILABLE
+        return web.json_response({"ready": ready}, status=status)
--- a/src/verbenacross/policy/policy.py
+++ b/src/verbenacross/policy/policy.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
+MAX_VERSION = 10**18 - 1
 SERVICE_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
 
 ServiceName = Annotated[str, Field(pattern=SERVICE_PATTERN)]
@@ -96,7 +97,7 @@
 
     schema_version: Literal[1]
     service: ServiceName
-    version: Annotated[int, Field(ge=1)]
+    version: Annotated[int, Field(ge=1, le=MAX_VERSION)]
     state: Literal["active", "retired"] = "active"
     callers: CallerMatch = CallerMatch()
     upstreams: UpstreamOptions = UpstreamOptions()
