Add the demonstration

Cause: make run named a module that did not exist.

Change: examples/demo.py starts the platform stand-in, 3 upstreams and 3 instances through standins/fleet.py, applies two example policies with the real command, shows by the deadline that upstreams receive which version served, retires the first version and checks that no process was restarted. An interruption is held back while a process is being started: without that, a process in the making stayed behind.

--- /dev/null
+++ b/tests/examples/test_demo.py
@@ -0,0 +1,97 @@
+"""The demonstration as a newcomer runs it."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+
+from examples.narrator import Narrator
+from verbenacross.policy import parse_policy
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+TIMEOUT_S = 60
+
+
+def start(*arguments):
+    return subprocess.Popen(
+        [sys.executable, "-m", "examples.demo", *arguments],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        start_new_session=True,
+    )
+
+
+def find_session(leader):
+    """Returns the ids of processes in the session of a process, without itself."""
+    found = []
+    for entry in pathlib.Path("/proc").iterdir():
+        if entry.name.isdigit() and int(entry.name) != leader:
+            try:
+                if os.getsid(int(entry.name)) == leader:
+                    found.append(int(entry.name))
+            except ProcessLookupError:
+                continue
+    return found
+
+
+def test_demo_ends_by_itself_and_leaves_no_process():
+    """Guards ``make run ONCE=1`` and what it shows."""
+    process = start("--once")
+    out, _ = process.communicate(timeout=TIMEOUT_S)
+    assert process.returncode == 0, out
+    assert "FAILED" not in out
+    for fact in ("a caller can ask for version 1", "asking for version 1 is refused"):
+        assert f"ok: {fact}" in out
+    assert "ok: no process was restarted" in out
+    assert find_session(process.pid) == []
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_demo_runs_until_interrupted(number):
+    """Guards ``make run``: addresses and calls are shown, and all processes end."""
+    process = start()
+    lines = []
+    for line in process.stdout:
+        lines.append(line)
+        if "Running until interrupted" in line:
+            break
+    assert len(find_session(process.pid)) == 10
+    assert any("curl -i http://127.0.0.1:" in line for line in lines), lines
+    process.send_signal(number)
+    assert process.wait(TIMEOUT_S) == 0
+    assert find_session(process.pid) == []
+
+
+def test_interruption_amid_the_start_leaves_no_process():
+    """Guards against a process that is started while the interruption rises."""
+    for delay_s in (0.0, 0.01, 0.05, 0.3):
+        process = start("--once")
+        while len(find_session(process.pid)) < 2:
+            time.sleep(0.001)
+        time.sleep(delay_s)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(TIMEOUT_S) == 1
+        assert find_session(process.pid) == []
+
+
+def test_wrong_facts_are_failures():
+    """Guards against a demonstration that hides what went wrong."""
+    narrator = Narrator()
+    narrator.check("holds", True, "")
+    assert narrator.exit_code == 0
+    narrator.check("does not hold", False, "")
+    assert narrator.exit_code == 1
+
+
+def test_example_policies_are_valid():
+    """Guards the examples against changes of the policy fields."""
+    paths = list((ROOT / "examples" / "policies").glob("*.json"))
+    assert paths
+    for path in paths:
+        parse_policy(path.read_bytes(), str(path))
