Refuse versions whose key no longer shows that they were retired

Cause: apply judged by the current record alone. A version that was retired and then overwritten by an active or invalid copy, or whose key was deleted, could be written again.

Change: apply also reads the copy that agents keep under valid/, in the form that branch state writes it: an empty record stands for a deleted key.

Conclusion: a retirement is final for apply in each of these cases. A key that was deleted while no reader saw it leaves no trace in the store; then apply can write it again.

--- a/src/verbenacross/console/commands/apply.py
+++ b/src/verbenacross/console/commands/apply.py
@@ -43,13 +43,14 @@
         self, session: StoreSession, policy_file: PolicyFile
     ) -> CommandResult:
         from ..record_writer import RecordWriter
-        from ..stored_policy import is_retired
+        from ..stored_policy import find_retirement
 
         key = policy_file.key
         writer = RecordWriter(session.store, session.settings.timeout_ms)
         current = await writer.read(key)
-        if await is_retired(session.store, current):
-            raise CommandError(report_retired(key, current.revision))
+        retired_at = await find_retirement(session.store, current)
+        if retired_at is not None:
+            raise CommandError(report_retired(key, retired_at))
         self.check_expected(current)
         if current.body == policy_file.body:
             text = f"{key}: unchanged at revision {current.revision}"
--- a/src/verbenacross/console/stored_policy.py
+++ b/src/verbenacross/console/stored_policy.py
@@ -62,26 +62,41 @@
         }
 
 
-async def is_retired(store: KeyValueStore, current: CurrentRecord) -> bool:
-    """Returns whether the version that a key holds is retired.
+async def find_retirement(store: KeyValueStore, current: CurrentRecord) -> int | None:
+    """Returns the revision at which a version was retired, ``None`` if it was not.
 
-    An invalid record leaves the last valid copy in force, which readers keep under
-    ``valid/``; then that copy decides.
+    Agents keep under ``valid/`` what the key itself no longer shows: that a version was
+    retired before an invalid or active copy, or that its key was deleted, which counts
+    as retired.
     """
-    if current.body is None:
-        return False
-    stored = StoredPolicy.from_body(current.key, current.revision, current.body)
-    if stored.policy is not None:
-        return stored.policy.state == "retired"
-    copy = await store.get(VALID_PREFIX + current.key.removeprefix(POLICY_PREFIX))
-    return copy is not None and is_retired_copy(copy.value or b"", current.key)
+    if current.body is not None:
+        stored = StoredPolicy.from_body(current.key, current.revision, current.body)
+        if stored.get_state() == "retired":
+            return current.revision
+    key = VALID_PREFIX + current.key.removeprefix(POLICY_PREFIX)
+    saved = await store.get(key)
+    if saved is None:
+        return None
+    copy = read_saved_copy(saved.value or b"")
+    if copy is None:
+        return None
+    if not copy.body:
+        return copy.revision if current.body is None else None
+    state = StoredPolicy.from_body(current.key, copy.revision, copy.body).get_state()
+    return copy.revision if state == "retired" else None
+
+
+class SavedCopy(NamedTuple):
+    """A copy under ``valid/``; an empty body stands for a deleted key."""
+
+    revision: int
+    body: bytes
 
 
-def is_retired_copy(value: bytes, key: str) -> bool:
-    """Returns whether the value of a key under ``valid/`` is a retired policy."""
+def read_saved_copy(value: bytes) -> SavedCopy | None:
+    """Returns the copy in a value under ``valid/``, ``None`` if it is malformed."""
     try:
-        record = json.loads(value)["record"]
-        body = record if isinstance(record, str) else json.dumps(record)
-        return parse_record_body(body.encode(), key).state == "retired"
-    except (ValueError, KeyError, TypeError, PolicyError):
-        return False
+        document = json.loads(value)
+        return SavedCopy(int(document["revision"]), str(document["record"]).encode())
+    except (ValueError, KeyError, TypeError):
+        return None
--- a/tests/console/commands/test_apply.py
+++ b/tests/console/commands/test_apply.py
@@ -103,30 +103,47 @@
     assert f"expected revision 0, current revision {revision}" in ran.err
 
 
-@pytest.mark.parametrize("spoiled", [False, True])
-def test_retired_version_is_not_written_again(operator, fleet, spoiled):
-    """Guards the finality of ``retired``, also behind an invalid later copy."""
-    service = f"final-{spoiled}".lower()
-    path = operator.write_policy_file(service, 1)
-    assert operator.run("apply", path).code == 0
-    retired = operator.run("retire", service, 1, "--json")
-    assert retired.code == 0
-    if spoiled:
-        record, _ = read_record(fleet, f"policies/{service}/1")
-        copy = json.dumps({"revision": retired.data["revision"], "record": record})
-        for key, value, expected in (
-            (f"valid/{service}/1", copy, 0),
-            (f"policies/{service}/1", "{", retired.data["revision"]),
-        ):
-            body = {"value": value, "expected_revision": expected}
-            assert call(f"{fleet.store_url}/v1/kv/{key}", "PUT", body)[0] == 200
+def write_raw(fleet, key, value, expected):
+    body = {"value": value, "expected_revision": expected}
+    status, _, answer = call(f"{fleet.store_url}/v1/kv/{key}", "PUT", body)
+    assert status == 200
+    return json.loads(answer)["revision"]
+
+
+@pytest.mark.parametrize("later", ["nothing", "invalid", "active", "deleted"])
+def test_retired_version_is_not_written_again(operator, fleet, later):
+    """Guards the finality of ``retired``, also when the key no longer shows it."""
+    path = operator.write_policy_file(later, 1, callers={"names": ["a"]})
+    key = f"policies/{later}/1"
+    revision = operator.run("apply", path, "--json").data["revision"]
+    if later == "deleted":
+        url = f"{fleet.store_url}/v1/kv/{key}?expected_revision={revision}"
+        assert call(url, "DELETE")[0] == 200
+        saved = ""
+    else:
+        revision = operator.run("retire", later, 1, "--json").data["revision"]
+        saved = json.dumps(read_record(fleet, key)[0])
+    if later in ("invalid", "active"):
+        record = {"schema_version": 1, "service": later, "version": 1}
+        write_raw(fleet, key, json.dumps(record if later == "active" else 1), revision)
+    if later != "nothing":
+        copy = json.dumps({"revision": revision, "record": saved})
+        write_raw(fleet, f"valid/{later}/1", copy, 0)
     ran = operator.run("apply", path)
-    assert ran.code == 4
-    assert "retired" in ran.err
+    assert ran.code == 4, ran
+    assert f"retired at revision {revision}" in ran.err
 
 
-def test_value_that_the_store_refuses_is_reported_as_refused(operator, fleet):
-    """Guards against "unknown" when the store said no."""
+def test_record_that_the_store_lost_can_be_written_again(operator, fleet):
+    """Guards against taking a saved active copy for a retirement."""
+    record = {"schema_version": 1, "service": "back", "version": 1}
+    copy = {"revision": 3, "record": json.dumps(record)}
+    write_raw(fleet, "valid/back/1", json.dumps(copy), 0)
+    assert operator.run("apply", operator.write_policy_file("back", 1)).code == 0
+
+
+def test_file_above_the_size_of_a_value_is_invalid(operator, fleet):
+    """Guards the store against calls that it must refuse."""
     padding = " " * 1_048_570
     path = operator.directory / "large.json"
     path.write_text('{"schema_version":1,"service":"large","version":1}' + padding)
