--- a/tests/integration/test_upstream_knowledge.py
+++ b/tests/integration/test_upstream_knowledge.py
@@ -89,7 +89,12 @@
 
 def read_long(fleet: Fleet, upstream: str) -> list[tuple[float, float]]:
     ran = fleet.read_ledger(upstream)["ran"]
-    return [(item["started"], item["finished"] or time.time()) for item in ran]
+    return [(item["started"], find_end(item)) for item in ran]
+
+
+def find_end(item: dict[str, Any]) -> float:
+    """Returns when the work left its slot: done, cancelled, or not yet."""
+    return float(item["finished"] or item.get("cancelled") or time.time())
 
 
 def count_most_at_once(works: list[tuple[float, float]]) -> int:
