Measure observations and print each measurement when it ends

Cause: a fault in the last measurement lost the results of all; the platform stand-in refused lists above 1 MB, so 25,000 upstreams could not be listed.

--- a/measure/knowledge.py
+++ b/measure/knowledge.py
@@ -12,6 +12,8 @@
 import json
 import os
 import statistics
+import sys
+import threading
 import time
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -26,11 +28,15 @@
 from verbenacross.protocol.messages import Observation, Observations
 from verbenacross.routing import RequestContext
 from verbenacross.settings import Address, EntrySettings
-from verbenacross.upstreams import ObservationTable, UpstreamDirectory
+from verbenacross.upstreams import (
+    ObservationReporter,
+    ObservationTable,
+    UpstreamDirectory,
+)
 from verbenacross.upstreams.directory_replica import DirectoryReplica, split_entries
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
 MS_PER_S = 1_000
 WINDOW_S = 6.0
@@ -202,12 +208,20 @@
         }
 
 
-async def time_permits(fleet: Fleet, name: str, count: int) -> dict[str, float]:
-    """Returns percentiles of the milliseconds to get a permit through an agent."""
+def build_link(
+    fleet: Fleet, name: str, observations: ObservationTable | None = None
+) -> AgentLink:
+    """Returns a link that looks to an agent like one of its entries."""
     listen = Address(HOST, 9)
     agent = Address(HOST, fleet.ports[name].entry_link)
     settings = EntrySettings("measure", "a", listen, listen, agent, "")
-    link = AgentLink(settings, PolicyTable(), UpstreamDirectory(), ObservationTable())
+    table = observations or ObservationTable()
+    return AgentLink(settings, PolicyTable(), UpstreamDirectory(), table)
+
+
+async def time_permits(fleet: Fleet, name: str, count: int) -> dict[str, float]:
+    """Returns percentiles of the milliseconds to get a permit through an agent."""
+    link = build_link(fleet, name)
     client = PermitClient(link.send)
     link.grants.subscribe(client.take)
     task = asyncio.create_task(link.run())
@@ -237,6 +251,33 @@
     }
 
 
+def measure_observations(rate: int) -> dict[str, Any]:
+    """Returns the use of 4 agents while one entry reports ejections at a rate."""
+    with Fleet() as fleet:
+        names = start_agents(fleet, 4)
+        time.sleep(SETTLE_S)
+        thread = threading.Thread(
+            target=lambda: asyncio.run(report_ejections(fleet, names[0], rate))
+        )
+        thread.start()
+        time.sleep(2)
+        use = measure_use(fleet, names)
+        thread.join()
+    return {"observations_per_s": rate, **use}
+
+
+async def report_ejections(fleet: Fleet, name: str, rate: int) -> None:
+    """Reports ejections of ever new upstreams for longer than a window."""
+    observations = ObservationTable()
+    link = build_link(fleet, name, observations)
+    reporter = ObservationReporter(observations, "measure")
+    task = asyncio.create_task(link.run())
+    for index in range(int(rate * (WINDOW_S + 6))):
+        reporter.note_ejected(f"upstream-{index:06}", 20_000)
+        await asyncio.sleep(1 / rate)
+    task.cancel()
+
+
 def measure_messages() -> dict[str, Any]:
     """Returns bytes and processor microseconds for an upstream and an observation."""
     address = Address("10.20.30.40", 8080)
@@ -279,17 +320,24 @@
     """Runs all measurements and prints them as JSON."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--instances", type=int, default=6)
+    parser.add_argument("--only", default="", help="name of one measurement")
     arguments = parser.parse_args()
-    result = {
-        "messages": measure_messages(),
-        "permits": measure_permits(1_000),
-        "drain": measure_drain(arguments.instances, 6),
-        "store_calls": [measure_store_calls(shards, 4) for shards in (4, 32, 256)],
-        "agents": [
+    result: dict[str, Any] = {}
+    steps: dict[str, Callable[[], Any]] = {
+        "messages": measure_messages,
+        "permits": lambda: measure_permits(1_000),
+        "drain": lambda: measure_drain(arguments.instances, 6),
+        "store_calls": lambda: [measure_store_calls(n, 4) for n in (4, 32, 256)],
+        "observations": lambda: [measure_observations(rate) for rate in (5, 20)],
+        "agents": lambda: [
             measure_agents(upstreams, agents)
             for upstreams, agents in ((100, 4), (5_000, 4), (25_000, 4), (100, 12))
         ],
     }
+    for name, step in steps.items():
+        if arguments.only in ("", name):
+            result[name] = step()
+            print(name, json.dumps(result[name]), file=sys.stderr, flush=True)
     print(json.dumps(result, indent=2))
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -19,6 +19,7 @@
 from aiohttp import web
 
 MAX_VALUE_BYTES = 1_048_576
+MAX_LIST_BYTES = 16_777_216
 KEPT_EVENTS = 100_000
 MS_PER_S = 1_000
 LEASE_CHECK_INTERVAL_S = 0.05
@@ -70,7 +71,9 @@
 
     def build_application(self) -> web.Application:
         """Returns the HTTP application."""
-        application = web.Application(middlewares=[self.apply_faults])
+        application = web.Application(
+            middlewares=[self.apply_faults], client_max_size=MAX_LIST_BYTES
+        )
         application.add_routes(
             [
                 web.get("/v1/kv", self.read_prefix),
