Prove distribution and membership with real processes

Cause: faults of the store, of agents and of peer paths were not tried on processes. The trial showed that after a store came back at a lower revision, agents took new records for deleted ones and readers retired records that the store had lost. Change: tests start processes and end, stop, cut and silence them through a small fault-injecting TCP proxy. An agent that finds the store below a known revision tells the others ahead of any new record (StoreLoss); after that no missing key counts as deleted, and every agent shows the finding. A first form of the silent and one-way cut tests passed without the mechanism: the proxy passed the end of a silent connection on, and the cut left other paths open. Both were made stricter.

--- a/src/verbenacross/agent/status.py
+++ b/src/verbenacross/agent/status.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from ..settings import Finding
+
 if TYPE_CHECKING:
     from .agent import Agent
 
@@ -28,7 +30,7 @@
     """
     reader = agent.role.reader
     last_answer = reader.last_answer if agent.role.is_reading else None
-    findings = [*agent.table.get_findings(), *reader.findings]
+    findings = [*agent.table.get_findings(), *reader.findings, *find_loss(agent)]
     return {
         "instance": agent.settings.instance,
         "synchronized": agent.synchronized,
@@ -44,3 +46,15 @@
         ],
         "findings": [str(finding) for finding in findings],
     }
+
+
+def find_loss(agent: Agent) -> list[Finding]:
+    """Returns a finding when the store came back without its last writes."""
+    if agent.progress.lost_after is None:
+        return []
+    message = (
+        f"the store was at revision {agent.progress.lost_after}, below a known one: it "
+        "lost writes or answered late; the records in force are kept, and a record is "
+        "replaced only by a higher revision"
+    )
+    return [Finding("store", "$.revision", message)]
--- a/src/verbenacross/agent/store_reader.py
+++ b/src/verbenacross/agent/store_reader.py
@@ -115,8 +115,10 @@
 
         A snapshot that is older than a record does not retire it, since the merge
         ignores lower revisions. A record whose copy was saved was lost by the store,
-        not deleted.
+        not deleted; after a loss that peers noticed nothing can be told apart.
         """
+        if self._progress.lost_after is not None:
+            return
         for key, record in list(self._table.latest.items()):
             if key in self._copies.stored or not record.body:
                 continue
@@ -125,10 +127,6 @@
 
     async def _finish(self, snapshot: StoreSnapshot) -> None:
         self._revision = snapshot.revision
-        if snapshot.revision >= self._progress.watermark:
-            self.findings = [
-                each for each in self.findings if each.path != "$.revision"
-            ]
         self._complete(snapshot.revision)
         if self._is_first():
             await self._copies.save()
@@ -139,14 +137,13 @@
             for entry in snapshot.values
             if not is_key(entry.key)
         ]
-        watermark = self._progress.watermark
-        if snapshot.revision < watermark:
-            message = (
-                f"the store is at revision {snapshot.revision}, below {watermark}: it "
-                "lost writes or answered late; the records in force are kept"
+        if snapshot.revision < self._progress.watermark:
+            logger.error(
+                "the store is at revision {}, below {}",
+                snapshot.revision,
+                self._progress.watermark,
             )
-            self.findings.append(Finding("store", "$.revision", message))
-            logger.error(message)
+            self._progress.note_loss(snapshot.revision)
 
 
 def draw_backoff_s(failures: int) -> float:
--- a/src/verbenacross/peers/agent_network.py
+++ b/src/verbenacross/peers/agent_network.py
@@ -14,6 +14,7 @@
 from websockets.exceptions import WebSocketException
 
 from ..membership import MemberGossip, MemberTable, PauseDetector, choose_links
+from ..membership.rendezvous import RING_LINKS
 from ..protocol import ProtocolError, encode_compressed
 from ..protocol.codec import MAX_MESSAGE_BYTES
 from ..protocol.messages import (
@@ -92,6 +93,7 @@
         self.messages: Subject[PeerMessage] = Subject()
         self.member_changes: Subject[MemberUpdate] = self.members.state_changes
         self.pauses: Subject[float] = Subject()
+        self.ring_links = RING_LINKS
         self._progress = progress
         self.links: dict[str, list[PeerLink]] = {}
         self._candidates: set[str] = {str(seed) for seed in settings.seeds}
@@ -137,13 +139,13 @@
 
     def is_isolated(self) -> bool:
         """Returns whether no peer has been heard within the liveness timeout."""
-        heard = [link.last_heard for link in self._get_links()]
+        heard = [link.last_heard for link in self.get_links()]
         latest = max([self._last_heard, *heard])
         return time.monotonic() - latest >= SILENCE_TIMEOUT_S
 
     def has_heard_since(self, moment: float) -> bool:
         """Returns whether a peer was heard after a moment of the monotonic clock."""
-        return any(link.last_heard > moment for link in self._get_links())
+        return any(link.last_heard > moment for link in self.get_links())
 
     def broadcast(self, message: Message, received_from: str | None = None) -> None:
         """Sends a message on each link but the one it came from; never waits."""
@@ -180,17 +182,17 @@
         local = self.members.local
         self.members.set_local("leaving", local.in_force)
         frame = encode_compressed(MemberUpdates((self.members.local,)))
-        for link in self._get_links():
+        for link in self.get_links():
             link.send_frame(frame)
         deadline = time.monotonic() + FLUSH_TIMEOUT_S
         while time.monotonic() < deadline:
-            if all(link.is_flushed() for link in self._get_links()):
+            if all(link.is_flushed() for link in self.get_links()):
                 return
             await asyncio.sleep(TICK_S / 4)
 
     def count_bytes(self) -> dict[str, int]:
         """Returns the bytes of messages received and sent since the start."""
-        links = list(self._get_links())
+        links = list(self.get_links())
         received = sum(link.received_bytes for link in links)
         sent = sum(link.sent_bytes for link in links)
         return {
@@ -204,7 +206,7 @@
         for running in (task, *dials):
             running.cancel()
         await asyncio.gather(task, *dials, return_exceptions=True)
-        await asyncio.gather(*(link.close() for link in self._get_links()))
+        await asyncio.gather(*(link.close() for link in self.get_links()))
 
     async def _run(self) -> None:
         now = time.monotonic()
@@ -235,7 +237,7 @@
         # Everything looks silent to a process that did not run, so the peers get
         # their full time again.
         logger.warning("this process was paused")
-        for link in self._get_links():
+        for link in self.get_links():
             link.last_heard = now
         for instance in self._failing_since:
             self._failing_since[instance] = now
@@ -243,14 +245,14 @@
         self.pauses.on_next(now)
 
     def _drop_silent_links(self, now: float) -> None:
-        for link in self._get_links():
+        for link in self.get_links():
             if now - link.last_heard >= SILENCE_TIMEOUT_S:
                 logger.info("peer link is silent", extra={"peer": link.peer})
                 link.abort()
 
     def _send_heartbeats(self) -> None:
         digest = MemberDigest(self.members.build_digest())
-        for link in self._get_links():
+        for link in self.get_links():
             link.heartbeats += 1
             link.send(Heartbeat(link.heartbeats))
             if link.heartbeats % DIGEST_HEARTBEATS == 1:
@@ -259,7 +261,7 @@
     def _maintain_overlay(self, now: float) -> None:
         present = {member.instance: member for member in self.get_alive()}
         chosen = choose_links(
-            self._settings.instance, present, self._settings.peer_links
+            self._settings.instance, present, self._settings.peer_links, self.ring_links
         )
         self._watched &= present.keys()
         for instance in chosen | self._watched:
@@ -268,7 +270,7 @@
         for instance in chosen & self.links.keys():
             for link in self.links[instance]:
                 link.last_direct_use = now
-        for link in self._get_links():
+        for link in self.get_links():
             if link.is_outgoing and now - link.last_direct_use > IDLE_LINK_S:
                 link.end()
 
@@ -441,7 +443,7 @@
         return link
 
     def _close_idle_direct_links(self) -> None:
-        outgoing = [link for link in self._get_links() if link.is_outgoing]
+        outgoing = [link for link in self.get_links() if link.is_outgoing]
         outgoing.sort(key=lambda link: link.last_direct_use)
         surplus = len(outgoing) - MAX_DIRECT_LINKS - self._settings.peer_links
         for link in outgoing[: max(0, surplus)]:
@@ -453,7 +455,8 @@
                 return link
         return None
 
-    def _get_links(self) -> list[PeerLink]:
+    def get_links(self) -> list[PeerLink]:
+        """Returns the open links."""
         return [link for links in self.links.values() for link in links]
 
     def _log_change(self, member: MemberUpdate) -> None:
--- a/src/verbenacross/peers/record_exchange.py
+++ b/src/verbenacross/peers/record_exchange.py
@@ -13,6 +13,7 @@
 from ..protocol.messages import (
     BucketDigests,
     RecordCopies,
+    StoreLoss,
     SyncComplete,
     TableDigest,
     Watermark,
@@ -57,11 +58,14 @@
         self._announced = -1
         self._table.changes.subscribe(self._queue)
         self._progress.changes.subscribe(self._announce)
+        self._progress.losses.subscribe(self._announce_loss)
 
     def add_link(self, link: PeerLink) -> None:
         """Starts to exchange records on a link."""
         self._flush()
         self._links.add(link)
+        if self._progress.lost_after is not None:
+            link.send(StoreLoss(self._progress.lost_after))
 
     def remove_link(self, link: PeerLink) -> None:
         """Forgets a link."""
@@ -101,6 +105,8 @@
             case Watermark(revision=revision):
                 link.peer_watermark = max(link.peer_watermark or 0, revision)
                 self._raise_from(link)
+            case StoreLoss(revision=revision):
+                self._progress.note_loss(revision)
             case SyncComplete(synchronized=synchronized, revision=revision):
                 link.is_synchronized = True
                 if synchronized:
@@ -151,6 +157,11 @@
         for link in self._links:
             link.send_frame(frame)
 
+    def _announce_loss(self, revision: int) -> None:
+        # Links are ordered, so this arrives before any record written after the loss.
+        for link in self._links:
+            link.send(StoreLoss(revision))
+
     def _send_digest(self, link: PeerLink) -> None:
         self._flush()
         link.send(TableDigest(self._table.digests.build_table_digest()))
--- a/src/verbenacross/policy/table_progress.py
+++ b/src/verbenacross/policy/table_progress.py
@@ -19,13 +19,16 @@
 
     A table that is complete up to R holds every record whose last change has a revision
     of at most R. ``changes`` emits each higher watermark. The watermark never falls.
+    ``losses`` emits when the store is first known to have lost writes.
     """
 
     def __init__(self, table: PolicyTable) -> None:
         self.table = table
         self.synchronized = False
         self.watermark = 0
+        self.lost_after: int | None = None
         self.changes: Subject[int] = Subject()
+        self.losses: Subject[int] = Subject()
 
     def raise_to(self, revision: int) -> None:
         """Notes that the table is complete up to a store revision."""
@@ -35,6 +38,15 @@
         self.watermark = max(self.watermark, revision)
         self.changes.on_next(self.watermark)
 
+    def note_loss(self, revision: int) -> None:
+        """Notes that the store lost its writes after a revision.
+
+        It then gives new records revisions below the watermark.
+        """
+        if self.lost_after is None:
+            self.lost_after = revision
+            self.losses.on_next(revision)
+
     def take(self, records: Iterable[PolicyRecord]) -> int:
         """Takes copies from a peer or an entry; returns how many were new."""
         return self.table.put_all(self._replace_deleted(record) for record in records)
@@ -42,7 +54,7 @@
     def _replace_deleted(self, record: PolicyRecord) -> PolicyRecord:
         # A complete table without the key shows that the record was deleted. The
         # sender was away during the deletion, and its copy must not come back.
-        is_unknown = record.key not in self.table.latest
+        is_unknown = record.key not in self.table.latest and self.lost_after is None
         if is_unknown and self.synchronized and record.revision <= self.watermark:
             return PolicyRecord(record.key, self.watermark, b"")
         return record
--- a/src/verbenacross/protocol/messages.py
+++ b/src/verbenacross/protocol/messages.py
@@ -89,6 +89,12 @@
     revision: Revision
 
 
+class StoreLoss(NamedTuple):
+    """The store came back at a lower revision than one that was known before."""
+
+    revision: Revision
+
+
 class MemberUpdate(NamedTuple):
     """What the sender knows of a member."""
 
@@ -205,6 +211,7 @@
     | BucketRequest
     | Watermark
     | SyncComplete
+    | StoreLoss
     | MemberUpdates
     | MemberDigest
     | Compressed
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -27,6 +27,7 @@
 
 CHUNK_BYTES = 65_536
 MS_PER_S = 1_000
+POLL_INTERVAL_S = 0.05
 LINGER_RESET = struct.pack("ii", 1, 0)
 Direction = Literal["to_target", "to_client"]
 
@@ -81,11 +82,14 @@
         writer: asyncio.StreamWriter,
         direction: Direction,
     ) -> None:
-        """Forwards one direction; a silent or cut one drops what arrives."""
-        while chunk := await reader.read(CHUNK_BYTES):
+        """Forwards one direction; a silent or cut one drops what arrives.
+
+        The end of a connection does not pass a silent or cut direction either.
+        """
+        while chunk := await read_chunk(reader):
             if self.faults["delay_ms"]:
                 await asyncio.sleep(self.faults["delay_ms"] / MS_PER_S)
-            if self.faults["silent"] or self.faults["cut"] == direction:
+            if self.is_blocked(direction):
                 continue
             limit = self.faults["cut_after_bytes"]
             if direction == "to_client" and limit is not None:
@@ -96,6 +100,12 @@
             is_limited = direction == "to_client" and limit is not None
             if is_limited and self.passed[direction] >= limit:
                 return self.reset()
+        while self.is_blocked(direction):
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    def is_blocked(self, direction: Direction) -> bool:
+        """Returns whether nothing passes in a direction."""
+        return bool(self.faults["silent"]) or self.faults["cut"] == direction
 
     def reset(self) -> None:
         """Breaks both connections with a TCP reset."""
@@ -106,6 +116,14 @@
             writer.transport.abort()
 
 
+async def read_chunk(reader: asyncio.StreamReader) -> bytes:
+    """Returns what arrives next, nothing when the connection has ended or broken."""
+    try:
+        return await reader.read(CHUNK_BYTES)
+    except ConnectionError:
+        return b""
+
+
 class FaultProxy:
     """Forwards connections to one target and injects the faults that are set."""
 
--- a/tests/peers/test_agent_network.py
+++ b/tests/peers/test_agent_network.py
@@ -200,7 +200,7 @@
         received = []
         networks[0].messages.subscribe(received.append)
         await wait_until(lambda: all(len(n.get_alive()) == 2 for n in networks))
-        networks[1]._get_links()[0].abort()
+        networks[1].get_links()[0].abort()
         await networks[1].send("agent-0", PermitRelease("permit", "layerhouse"))
         await wait_until(lambda: received)
         assert received[0].sender == "agent-1"
