Choose links and readers only when members change

Cause: every 0.1 to 0.5 s each agent sorted and hashed all members, work that grows with the fleet. Change: the member digest is kept up to date with each change; links and readers are chosen again only after a change of state.

--- a/src/verbenacross/agent/reader_role.py
+++ b/src/verbenacross/agent/reader_role.py
@@ -51,6 +51,8 @@
         self._isolated_since: float | None = self._started
         self._isolation_s = random.uniform(MIN_ISOLATION_S, MAX_ISOLATION_S)
         self._paused = 0.0
+        self._readers: set[str] = set()
+        self._chosen_version = -1
         self._unconfirmed: int | None = None
         network.pauses.subscribe(self._drop)
 
@@ -79,15 +81,22 @@
             return False
         if not self._network.is_isolated():
             self._isolated_since = None
-            alive = self._network.get_alive()
-            count = self._settings.readers_per_failure_domain
-            return self._settings.instance in choose_readers(alive, count)
+            return self._is_chosen()
         if self._isolated_since is None:
             self._isolated_since = now
             self._isolation_s = random.uniform(MIN_ISOLATION_S, MAX_ISOLATION_S)
         is_alone = self.list_is_known and not self._network.has_candidates()
         return is_alone or now - self._isolated_since >= self._isolation_s
 
+    def _is_chosen(self) -> bool:
+        version = self._network.members.version
+        if self._chosen_version != version:
+            self._chosen_version = version
+            alive = self._network.get_alive()
+            count = self._settings.readers_per_failure_domain
+            self._readers = choose_readers(alive, count)
+        return self._settings.instance in self._readers
+
     def _is_first(self) -> bool:
         first = rank_members(self._network.get_alive(), READER_ROLE)[0]
         return first.instance == self._settings.instance
--- a/src/verbenacross/membership/member_table.py
+++ b/src/verbenacross/membership/member_table.py
@@ -33,8 +33,9 @@
     """Members by instance id, merged by incarnation and then by state.
 
     ``updates`` emits each member of which something changed, ``state_changes`` those
-    whose state or incarnation changed. Times are seconds of the monotonic clock. Only
-    the member itself raises its incarnation, by which it refutes a suspicion.
+    whose state or incarnation changed, which ``version`` counts. Times are seconds of
+    the monotonic clock. Only the member itself raises its incarnation, by which it
+    refutes a suspicion.
     """
 
     def __init__(self, local: MemberUpdate) -> None:
@@ -42,6 +43,8 @@
         self.members: dict[str, MemberUpdate] = {local.instance: local}
         self.updates: Subject[MemberUpdate] = Subject()
         self.state_changes: Subject[MemberUpdate] = Subject()
+        self.version = 0
+        self._digest = hash_member(local)
         self._suspicions: dict[str, float] = {}
         self._refuted: dict[str, float] = {}
         self._ended: dict[str, float] = {}
@@ -93,7 +96,7 @@
         for instance, ended in list(self._ended.items()):
             if now - ended > DEAD_RETENTION_S:
                 del self._ended[instance]
-                del self.members[instance]
+                self._digest ^= hash_member(self.members.pop(instance))
 
     def restart_suspicions(self, now: float) -> None:
         """Gives every suspect its full time again, after this process was paused."""
@@ -108,10 +111,7 @@
 
     def build_digest(self) -> bytes:
         """Returns a digest of what is known of every member."""
-        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-        for instance in sorted(self.members):
-            digest.update(repr(tuple(self.members[instance])).encode())
-        return digest.digest()
+        return self._digest.to_bytes(DIGEST_BYTES, "big")
 
     def _refute(self, update: MemberUpdate) -> bool:
         local = self.local
@@ -126,15 +126,11 @@
 
     def _store_local(self, changed: MemberUpdate) -> None:
         previous, self.local = self.local, changed
-        self.members[changed.instance] = changed
-        self.updates.on_next(changed)
-        if previous._replace(in_force=changed.in_force) != changed:
-            self.state_changes.on_next(changed)
+        self._replace(previous, changed)
 
     def _store(self, member: MemberUpdate, now: float) -> None:
         instance = member.instance
         previous = self.members.get(instance)
-        self.members[instance] = member
         was_suspect = previous is not None and previous.state == "suspect"
         if was_suspect and member.state == "alive":
             self._refuted[instance] = now + REFUTED_SUSPICION_PAUSE_S
@@ -147,11 +143,26 @@
         else:
             self._ended.setdefault(instance, now)
             self._refuted.pop(instance, None)
+        self._replace(previous, member)
+
+    def _replace(self, previous: MemberUpdate | None, member: MemberUpdate) -> None:
+        self.members[member.instance] = member
+        self._digest ^= hash_member(member)
+        if previous is not None:
+            self._digest ^= hash_member(previous)
         self.updates.on_next(member)
         if previous is None or previous._replace(in_force=member.in_force) != member:
+            self.version += 1
             self.state_changes.on_next(member)
 
 
+def hash_member(member: MemberUpdate) -> int:
+    """Returns the part of a member in the digest of a table."""
+    content = repr(tuple(member)).encode()
+    digest = hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
 def rank_member(member: MemberUpdate) -> tuple[int, int, str, str]:
     """Returns the order of two views of a member; the higher one is newer."""
     rank = STATE_RANKS[member.state]
--- a/src/verbenacross/peers/agent_network.py
+++ b/src/verbenacross/peers/agent_network.py
@@ -14,6 +14,7 @@
 from websockets.exceptions import WebSocketException
 
 from ..membership import MemberGossip, MemberTable, PauseDetector, choose_links
+from ..membership.member_table import PRESENT_STATES
 from ..membership.rendezvous import RING_LINKS
 from ..protocol import ProtocolError, encode_compressed
 from ..protocol.codec import MAX_MESSAGE_BYTES
@@ -94,6 +95,8 @@
         self.member_changes: Subject[MemberUpdate] = self.members.state_changes
         self.pauses: Subject[float] = Subject()
         self.ring_links = RING_LINKS
+        self._chosen: set[str] = set()
+        self._chosen_version = -1
         self._progress = progress
         self.links: dict[str, list[PeerLink]] = {}
         self._candidates: set[str] = {str(seed) for seed in settings.seeds}
@@ -259,14 +262,24 @@
                 link.send(digest)
 
     def _maintain_overlay(self, now: float) -> None:
-        present = {member.instance: member for member in self.get_alive()}
-        chosen = choose_links(
-            self._settings.instance, present, self._settings.peer_links, self.ring_links
-        )
-        self._watched &= present.keys()
+        members = self.members.members
+        if self._chosen_version != self.members.version:
+            self._chosen_version = self.members.version
+            self._chosen = choose_links(
+                self._settings.instance,
+                [member.instance for member in self.get_alive()],
+                self._settings.peer_links,
+                self.ring_links,
+            )
+        chosen = self._chosen
+        self._watched = {
+            instance
+            for instance in self._watched
+            if instance in members and members[instance].state in PRESENT_STATES
+        }
         for instance in chosen | self._watched:
             if self._find_link(instance) is None:
-                self._dial(present[instance].address, instance)
+                self._dial(members[instance].address, instance)
         for instance in chosen & self.links.keys():
             for link in self.links[instance]:
                 link.last_direct_use = now
