Reserve ports for each fleet of stand-ins

Cause: ports that were free for a moment were taken by other fleets or by outgoing connections before the started process bound them. With 4 workers at load 27, 11 of 47 tests failed in their set-up with refused connections or after 30 s without an answer.

Change: each fleet process holds a block of 200 ports below the range of outgoing connections by keeping the block's first port bound. A wait that fails names the processes that have ended, with the end of their logs.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import pathlib
 import signal
@@ -16,6 +17,11 @@
 from typing import Any, NamedTuple
 
 HOST = "127.0.0.1"
+FIRST_PORT = 10_000
+PORT_BLOCKS = 110
+PORTS_PER_BLOCK = 200
+PORT_NUMBERS = itertools.count()
+PORT_LOCKS: list[socket.socket] = []
 SHARED_KEY = "a shared key for local runs"
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
@@ -32,13 +38,43 @@
     entry_admin: int
 
 
+def reserve_port_block() -> int:
+    """Returns the first port of a block that no other fleet process uses.
+
+    The first port of a block stays bound as a lock until this process ends. The blocks
+    lie below the range of outgoing connections.
+    """
+    for block in range(PORT_BLOCKS):
+        first = FIRST_PORT + block * PORTS_PER_BLOCK
+        lock = socket.socket()
+        try:
+            lock.bind((HOST, first))
+        except OSError:
+            lock.close()
+            continue
+        PORT_LOCKS.append(lock)
+        return first
+    raise RuntimeError("every block of ports is taken")
+
+
 def find_free_ports(count: int) -> list[int]:
-    """Returns ports that were free; all differ."""
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in sockets:
-            probe.bind((HOST, 0))
-        return [int(probe.getsockname()[1]) for probe in sockets]
+    """Returns ports that were free; all differ.
+
+    Ports that were only free for a moment were taken under load by another fleet or
+    connection before the started process bound them.
+    """
+    first = PORT_LOCKS[0].getsockname()[1] if PORT_LOCKS else reserve_port_block()
+    found: list[int] = []
+    while len(found) < count:
+        port = first + 1 + next(PORT_NUMBERS) % (PORTS_PER_BLOCK - 1)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
 
 
 def call(
@@ -246,7 +282,19 @@
             if condition():
                 return time.monotonic() - started
             time.sleep(POLL_INTERVAL_S)
-        raise TimeoutError(f"the condition did not hold within {timeout_s} s")
+        raise TimeoutError(
+            f"the condition did not hold within {timeout_s} s; {self.describe_ended()}"
+        )
+
+    def describe_ended(self) -> str:
+        """Returns which processes have ended, with the end of their logs."""
+        ended = [
+            f"{name} exited with {process.returncode}: "
+            + (self.directory / f"{name}.log").read_text()[-500:]
+            for name, process in self.processes.items()
+            if process.poll() is not None
+        ]
+        return "; ".join(ended) or "no process has ended"
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a process."""
--- a/tests/integration/entry/conftest.py
+++ b/tests/integration/entry/conftest.py
@@ -44,6 +44,7 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
+        self.services = ["work"]
         self.upstreams = [
             fleet.add_upstream("work", index, slots=64, proxied=True)
             for index in range(2)
