--- a/src/verbenacross/entry/exchange.py
+++ b/src/verbenacross/entry/exchange.py
@@ -178,7 +178,7 @@
             self._note_execution(
                 before, Execution.UNKNOWN if sent else Execution.NOT_RUN
             )
-            self._fail(upstream, error, sent)
+            self._fail(upstream, error, guard)
             return None
         finally:
             latency_s = time.monotonic() - started
@@ -282,12 +282,15 @@
             return False
         return self._may_retry(read_execution(answer))
 
-    def _fail(self, upstream: UpstreamState, error: Exception, sent: bool) -> None:
+    def _fail(
+        self, upstream: UpstreamState, error: Exception, guard: AttemptGuard
+    ) -> None:
         """Returns when another attempt is to follow; raises ``RefusedError`` if not."""
         upstream_id = upstream.instance.id
+        sent = guard.may_have_sent()
         if self._body.failed:
             raise self._refuse(BAD_BODY, error) from error
-        if not isinstance(error, aiohttp.ClientError):
+        if guard.is_reused() and not isinstance(error, aiohttp.ClientError):
             self._client.distrust(URL(upstream.url_prefix))
         if not sent and isinstance(error, aiohttp.ClientError):
             refused = self._refuse(UPSTREAM_UNREACHABLE, error)
--- a/src/verbenacross/entry/upstream_client.py
+++ b/src/verbenacross/entry/upstream_client.py
@@ -25,8 +25,8 @@
 class UpstreamClient:
     """Sends requests on reused or on new connections.
 
-    After a silent or crossed answer an upstream is distrusted for as long as idle
-    connections live, so none of its old connections carries another request.
+    After silence or a foreign answer on a reused connection, an upstream is distrusted
+    for as long as idle connections live, so no old connection carries a request.
     """
 
     def __init__(
@@ -89,18 +89,17 @@
 
     def distrust(self, url: URL) -> None:
         """Keeps requests off the open connections to an upstream."""
-        self._distrusted[url.authority] = self._loop.time() + KEEPALIVE_S
+        now = self._loop.time()
+        for address, until in list(self._distrusted.items()):
+            if until <= now:
+                del self._distrusted[address]
+        self._distrusted[url.authority] = now + KEEPALIVE_S
 
     def _is_distrusted(self, url: URL) -> bool:
         if not self._distrusted:
             return False
         until = self._distrusted.get(url.authority)
-        if until is None:
-            return False
-        if until > self._loop.time():
-            return True
-        del self._distrusted[url.authority]
-        return False
+        return until is not None and until > self._loop.time()
 
     def _get_timeout(self, connect_timeout_ms: int) -> aiohttp.ClientTimeout:
         timeout = self._timeouts.get(connect_timeout_ms)
