Run the processes on asyncio's own event loop

Cause: uvloop 0.23 opens an io_uring on this kernel (6.18) although UV_USE_IO_URING=0 is set; the entry's test of open descriptors found it. Conclusion: the rule that no process uses io_uring goes before the speed.

--- a/measure/added_latency.py
+++ b/measure/added_latency.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import sys
 import time
 
 import aiohttp
-import uvloop
 
 MS_PER_S = 1_000
 WARM_UP_CALLS = 30
@@ -31,4 +31,4 @@
 
 
 if __name__ == "__main__":
-    uvloop.run(run(sys.argv[1], sys.argv[2], sys.argv[3], int(sys.argv[4])))
+    asyncio.run(run(sys.argv[1], sys.argv[2], sys.argv[3], int(sys.argv[4])))
--- a/measure/central_queue.py
+++ b/measure/central_queue.py
@@ -16,7 +16,6 @@
 from typing import Any
 
 import aiohttp
-import uvloop
 from aiohttp import web
 
 LONG_SLOTS = 2
@@ -140,7 +139,7 @@
     parser.add_argument("--config", required=True)
     parser.add_argument("--port", type=int, required=True)
     arguments = parser.parse_args()
-    uvloop.run(run(arguments.config, arguments.port))
+    asyncio.run(run(arguments.config, arguments.port))
 
 
 if __name__ == "__main__":
--- a/measure/load_generator.py
+++ b/measure/load_generator.py
@@ -14,7 +14,6 @@
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
-import uvloop
 
 from verbenacross.platform.upstream_signals import read_load
 
@@ -104,4 +103,4 @@
 
 
 if __name__ == "__main__":
-    uvloop.run(run(sys.argv[1], sys.argv[2]))
+    asyncio.run(run(sys.argv[1], sys.argv[2]))
--- a/src/verbenacross/console/process_runner.py
+++ b/src/verbenacross/console/process_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 import gc
 import os
@@ -46,13 +47,11 @@
             logger.error("{}", finding, extra=where)
         return ProcessExit.SETTINGS
     configure_logs(getattr(settings, "log_level", "INFO"))
-    # libuv must not open an io_uring, the machines allow none.
-    os.environ["UV_USE_IO_URING"] = "0"
-    import uvloop
-
     gc.freeze()
     try:
-        uvloop.run(wait_for(run(settings)))
+        # uvloop 0.23 opens an io_uring even with UV_USE_IO_URING=0, and the machines
+        # allow none, so the processes run on asyncio's own event loop.
+        asyncio.run(wait_for(run(settings)))
     except KeyboardInterrupt:
         return ProcessExit.INTERRUPTED
     except Exception as error:
