Say which process of the demonstration ended early

Cause: when a process could not start, for example because its port was taken between the choice and the start, the demonstration only said after 30 s that the time was up. A test of the demonstration that failed left its processes behind.

Change: the demonstration prints each process that ended, with the last line of its log; the tests end what they started.

Conclusion: the cause of a failed start is visible. The choice of ports in standins/fleet.py is unchanged here.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -50,7 +50,11 @@
         for name, domain in INSTANCES.items():
             self._fleet.add_instance(name, domain)
         self._fleet.publish_instances()
-        self._fleet.wait_ready()
+        try:
+            self._fleet.wait_ready()
+        except TimeoutError:
+            self._show_ended()
+            raise
         ports = [self._fleet.ports[name].agent_admin for name in INSTANCES]
         document = {
             "store_url": self._fleet.store_url,
@@ -104,6 +108,14 @@
         say.line(f"verbenacross-dump {admin}")
         say.line(f"verbenacross list --settings {self._settings}")
 
+    def _show_ended(self) -> None:
+        """Prints the processes that ended early, with their last log line."""
+        for name, process in self._fleet.processes.items():
+            if process.poll() is not None:
+                log = (self._fleet.directory / f"{name}.log").read_text().splitlines()
+                reason = log[-1] if log else "no log"
+                self._narrator.line(f"{name} ended with {process.poll()}: {reason}")
+
     def _operate(self, command: str, *arguments: str, ok: int = 0) -> None:
         shown = [os.path.relpath(a) if a.endswith(".json") else a for a in arguments]
         self._narrator.line(f"$ verbenacross {' '.join([command, *shown])}")
--- a/tests/examples/test_demo.py
+++ b/tests/examples/test_demo.py
@@ -1,5 +1,6 @@
 """The demonstration as a newcomer runs it."""
 
+import contextlib
 import os
 import pathlib
 import signal
@@ -16,7 +17,21 @@
 TIMEOUT_S = 60
 
 
-def start(*arguments):
+@pytest.fixture
+def start():
+    """Starts demonstrations and ends those that a failed test leaves."""
+    with contextlib.ExitStack() as stack:
+
+        def start_one(*arguments):
+            process = start_demo(*arguments)
+            stack.callback(process.wait)
+            stack.callback(process.terminate)
+            return process
+
+        yield start_one
+
+
+def start_demo(*arguments):
     return subprocess.Popen(
         [sys.executable, "-m", "examples.demo", *arguments],
         cwd=ROOT,
@@ -40,7 +55,7 @@
     return found
 
 
-def test_demo_ends_by_itself_and_leaves_no_process():
+def test_demo_ends_by_itself_and_leaves_no_process(start):
     """Guards ``make run ONCE=1`` and what it shows."""
     process = start("--once")
     out, _ = process.communicate(timeout=TIMEOUT_S)
@@ -53,7 +68,7 @@
 
 
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
-def test_demo_runs_until_interrupted(number):
+def test_demo_runs_until_interrupted(start, number):
     """Guards ``make run``: addresses and calls are shown, and all processes end."""
     process = start()
     lines = []
@@ -61,14 +76,14 @@
         lines.append(line)
         if "Running until interrupted" in line:
             break
-    assert len(find_session(process.pid)) == 10
+    assert len(find_session(process.pid)) == 10, lines
     assert any("curl -i http://127.0.0.1:" in line for line in lines), lines
     process.send_signal(number)
     assert process.wait(TIMEOUT_S) == 0
     assert find_session(process.pid) == []
 
 
-def test_interruption_amid_the_start_leaves_no_process():
+def test_interruption_amid_the_start_leaves_no_process(start):
     """Guards against a process that is started while the interruption rises."""
     for delay_s in (0.0, 0.01, 0.05, 0.3):
         process = start("--once")
