--- a/src/verbenacross/entry/headers.py
+++ b/src/verbenacross/entry/headers.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from multidict import CIMultiDict
+from multidict import CIMultiDict, istr
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -19,18 +19,19 @@
 CALLER_HEADER = "Verbenacross-Caller"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
+HOP_BY_HOP_HEADERS = tuple(
+    istr(name)
+    for name in (
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "Proxy-Connection",
+        "TE",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+    )
 )
 
 # ``Connection`` must not remove headers that delimit or route the message (RFC 9110,
@@ -52,20 +53,18 @@
 
     Raises ``UnicodeEncodeError`` when a value cannot be sent on.
     """
-    dropped = HOP_BY_HOP_HEADERS
-    named = headers.getall("Connection", ())
-    if named:
-        tokens = (
-            token.strip().lower() for value in named for token in value.split(",")
-        )
-        dropped = HOP_BY_HOP_HEADERS | (set(tokens) - UNREMOVABLE_HEADERS)
-    copied: CIMultiDict[str] = CIMultiDict()
-    for name, value in headers.items():
-        if name.lower() in dropped:
-            continue
-        if not value.isascii():
+    copied = CIMultiDict(headers)
+    if not "".join(copied.values()).isascii():
+        for value in copied.values():
             value.encode()
-        copied.add(name, value)
+    for named in copied.getall("Connection", ()):
+        for token in named.split(","):
+            name = token.strip()
+            if name.lower() not in UNREMOVABLE_HEADERS:
+                copied.popall(name, None)
+    for name in HOP_BY_HOP_HEADERS:
+        if name in copied:
+            del copied[name]
     return copied
 
 
--- a/src/verbenacross/entry/request_reader.py
+++ b/src/verbenacross/entry/request_reader.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import random
 import time
-import uuid
 from typing import TYPE_CHECKING
 
 from aiohttp import HttpVersion11, hdrs
@@ -27,6 +27,7 @@
 MS_PER_S = 1_000
 MAX_DIGITS = 15
 MAX_ID_CHARACTERS = 256
+REQUEST_ID_BITS = 128
 CONTINUE = "100-continue"
 NON_IDEMPOTENT_METHODS = frozenset({"POST", "PATCH"})
 DEFAULT_CLASS = RequestClass("default")
@@ -101,7 +102,7 @@
     """Returns the caller's request id, or a new one when there is none."""
     values = request.headers.getall(REQUEST_ID_HEADER, None)
     if values is None:
-        return uuid.uuid4().hex
+        return f"{random.getrandbits(REQUEST_ID_BITS):032x}"
     value = values[0]
     usable = value.isascii() and value.isprintable()
     if len(values) > 1 or not usable or not 0 < len(value) <= MAX_ID_CHARACTERS:
@@ -127,8 +128,8 @@
     target = request.raw_path
     if "#" in target or not (target.startswith("/") or "://" in target):
         raise refuse_not_run(400, "bad-target", "The request target is not a path")
-    for value in headers.values():
-        if not value.isascii():
+    if not "".join(headers.values()).isascii():
+        for value in headers.values():
             check_encodable(value)
 
 
