Log internal errors as JSON lines; keep one class per module

Cause: an unexpected error of a request went to the standard logging module as plain text, and two modules held two classes.

Change: CallerProtocol logs through logbook; CallerServer and KeyRecord have modules of their own.

--- a/src/verbenacross/entry/caller_protocol.py
+++ b/src/verbenacross/entry/caller_protocol.py
@@ -1,10 +1,11 @@
-"""HTTP server that answers malformed requests with problem details."""
+"""Connection of a caller that answers malformed requests with problem details."""
 
 from __future__ import annotations
 
 import uuid
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
+import logbook
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
 
@@ -25,6 +26,8 @@
     500, "internal-error", "The entry failed on this request", Execution.UNKNOWN
 )
 
+logger = logbook.Logger("verbenacross.entry")
+
 
 class CallerProtocol(web.RequestHandler):
     """Connection of a caller."""
@@ -42,7 +45,7 @@
         if request.writer.output_size > 0:
             raise ConnectionAbortedError("the answer is sent in part")
         if status >= HTTP_SERVER_ERROR:
-            self.log_exception("request failed", exc_info=exc)
+            logger.error("request failed: {!r}", exc, extra={"path": request.path})
             refusal = INTERNAL
         else:
             refusal = TOO_LARGE if isinstance(exc, LineTooLong) else MALFORMED
@@ -50,15 +53,3 @@
         response = refusal.build_response(uuid.uuid4().hex)
         response.force_close()
         return response
-
-
-class CallerServer(web.Server):
-    """Server whose connections are ``CallerProtocol``."""
-
-    def __init__(self, handler: Any, **options: Any) -> None:
-        super().__init__(handler, handler_cancellation=True, **options)
-        self._options = options
-
-    def __call__(self) -> web.RequestHandler:
-        """Returns the protocol of a new connection."""
-        return CallerProtocol(self, loop=self._loop, **self._options)
--- /dev/null
+++ b/src/verbenacross/entry/caller_server.py
@@ -0,0 +1,28 @@
+"""HTTP server towards callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+
+from .caller_protocol import CallerProtocol
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+
+class CallerServer(web.Server):
+    """Server whose connections are ``CallerProtocol``."""
+
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        **options: Any,
+    ) -> None:
+        super().__init__(handler, handler_cancellation=True, **options)
+        self._options = options
+
+    def __call__(self) -> web.RequestHandler:
+        """Returns the protocol of a new connection."""
+        return CallerProtocol(self, loop=self._loop, **self._options)
--- a/src/verbenacross/entry/entry.py
+++ b/src/verbenacross/entry/entry.py
@@ -29,7 +29,7 @@
 from ..routing import ServiceRouter
 from ..upstreams import UpstreamDirectory
 from .agent_link import AgentLink
-from .caller_protocol import CallerServer
+from .caller_server import CallerServer
 from .drain import Drain
 from .forwarder import Forwarder
 from .headers import CALLER_HEADER, SERVICE_HEADER
--- a/src/verbenacross/entry/idempotency_keys.py
+++ b/src/verbenacross/entry/idempotency_keys.py
@@ -17,8 +17,9 @@
 from ..platform import StoreConflictError, StoreError, StoreUnavailableError
 from ..platform.exceptions import LeaseLostError
 from ..refusals import Execution, Refusal, RefusedError, refuse_not_run
-from .key_claim import KeyClaim, KeyRecord
+from .key_claim import KeyClaim
 from .key_leases import KeyLeases
+from .key_record import KeyRecord
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine, Sequence
