Pick ports of processes below the range of outgoing connections

Cause: with 64 agents started at once, some processes failed to listen, since an outgoing connection had taken the port that was chosen for them. Change: free ports are drawn from 10,000 to 32,000.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -20,6 +21,8 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.02
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
 
 
 class Ports(NamedTuple):
@@ -33,12 +36,22 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Returns ports that were free; all differ."""
+    """Returns ports that were free; all differ.
+
+    They lie below the range from which the system takes ports of outgoing connections,
+    so that no connection takes one before its process listens.
+    """
+    ports: list[int] = []
     with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in sockets:
-            probe.bind((HOST, 0))
-        return [int(probe.getsockname()[1]) for probe in sockets]
+        while len(ports) < count:
+            port = random.randrange(FIRST_PORT, LAST_PORT)
+            probe = stack.enter_context(socket.socket())
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            ports.append(port)
+    return ports
 
 
 def call(
