Measure distribution and detection; settle process tests under load

Cause: no figures existed; under a load average of 48 two process tests failed: one counted the start of processes as settling, one killed an agent before the last record had left it. Ports could be given twice before they were used. The two tests wait for the processes first; their targets are as before. Ports are handed out in turn. A test brings agents together again after a cut.

--- /dev/null
+++ b/measure/agent_host.py
@@ -0,0 +1,138 @@
+"""Process that runs one or more agents, each with the agent link of an entry.
+
+It stands for the instances of a fleet where only control is measured. ``GET /figures``
+on the control port serves when each entry applied each record, processor time, memory
+and message bytes; ``POST /reset`` forgets the times.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import pathlib
+import resource
+import time
+from contextlib import AsyncExitStack
+from typing import Any
+
+import aiohttp
+import uvloop
+from aiohttp import web
+from pydantic import TypeAdapter
+
+from verbenacross.agent import Agent
+from verbenacross.entry.agent_link import AgentLink
+from verbenacross.observability import configure_logs
+from verbenacross.platform import HttpInstanceList, HttpKeyValueStore
+from verbenacross.policy import PolicyRecord, PolicyTable
+from verbenacross.settings import AgentSettings, EntrySettings
+from verbenacross.upstreams import UpstreamDirectory
+
+
+class HostedInstance:
+    """An agent and the records of its entry."""
+
+    def __init__(self, settings: AgentSettings, session: aiohttp.ClientSession) -> None:
+        self.agent = Agent(
+            settings,
+            HttpKeyValueStore(session, settings.store_url),
+            HttpInstanceList(session, settings.list_url),
+        )
+        self.table = PolicyTable()
+        self.table.changes.subscribe(self._note)
+        self.applied: dict[int, float] = {}
+        entry = EntrySettings(
+            settings.instance,
+            settings.failure_domain,
+            settings.entry_listen,
+            settings.entry_listen,
+            settings.entry_listen,
+            settings.store_url,
+        )
+        self.link = AgentLink(entry, self.table, UpstreamDirectory())
+
+    async def run(self) -> None:
+        """Runs agent and link until cancelled."""
+        async with AsyncExitStack() as stack:
+            link = asyncio.create_task(self.link.run())
+            stack.callback(link.cancel)
+            await self.agent.run(stack)
+
+    def _note(self, record: PolicyRecord) -> None:
+        self.applied[record.revision] = time.time()
+
+
+class AgentHost:
+    """Instances of one process and their figures."""
+
+    def __init__(self, instances: list[HostedInstance]) -> None:
+        self.instances = instances
+
+    async def serve_figures(self, request: web.Request) -> web.Response:
+        """Serves the figures of this process."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        status = pathlib.Path("/proc/self/status").read_text()
+        resident = next(
+            line for line in status.splitlines() if line.startswith("VmRSS")
+        )
+        return web.json_response(
+            {
+                "processor_s": usage.ru_utime + usage.ru_stime,
+                "resident_kb": int(resident.split()[1]),
+                "instances": {
+                    each.agent.settings.instance: self.describe(each)
+                    for each in self.instances
+                },
+            }
+        )
+
+    def describe(self, each: HostedInstance) -> dict[str, Any]:
+        """Returns the figures of one instance."""
+        alive = each.agent.network.get_alive()
+        return {
+            "applied": each.applied,
+            "records": len(each.table.latest),
+            "in_force": each.agent.get_in_force(),
+            "least_in_force": min(member.in_force for member in alive),
+            "alive": len(alive),
+            "reader": each.agent.role.is_reading,
+            "bytes": each.agent.network.count_bytes(),
+        }
+
+    async def reset(self, request: web.Request) -> web.Response:
+        """Forgets when records were applied."""
+        for each in self.instances:
+            each.applied.clear()
+        return web.json_response({})
+
+
+async def run(arguments: argparse.Namespace) -> None:
+    """Runs the agents of a settings file, a JSON list of agent settings."""
+    text = await asyncio.to_thread(pathlib.Path(arguments.settings).read_bytes)
+    settings = TypeAdapter(list[AgentSettings]).validate_json(text)
+    async with AsyncExitStack() as stack:
+        session = await stack.enter_async_context(
+            aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True))
+        )
+        host = AgentHost([HostedInstance(each, session) for each in settings])
+        application = web.Application()
+        application.router.add_get("/figures", host.serve_figures)
+        application.router.add_post("/reset", host.reset)
+        runner = web.AppRunner(application, access_log=None)
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", arguments.port).start()
+        await asyncio.gather(*(each.run() for each in host.instances))
+
+
+def main() -> None:
+    """Runs the process."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("settings")
+    configure_logs("WARNING")
+    uvloop.run(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import pathlib
 import random
@@ -23,6 +24,11 @@
 POLL_INTERVAL_S = 0.02
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
+FIRST_OFFSET = random.randrange(LAST_PORT - FIRST_PORT)
+PORTS = itertools.cycle(
+    FIRST_PORT + (FIRST_OFFSET + step) % (LAST_PORT - FIRST_PORT)
+    for step in range(LAST_PORT - FIRST_PORT)
+)
 
 
 class Ports(NamedTuple):
@@ -39,12 +45,13 @@
     """Returns ports that were free; all differ.
 
     They lie below the range from which the system takes ports of outgoing connections,
-    so that no connection takes one before its process listens.
+    so that no connection takes one before its process listens. Ports are handed out in
+    turn, so that none is given twice before it is used.
     """
     ports: list[int] = []
     with ExitStack() as stack:
         while len(ports) < count:
-            port = random.randrange(FIRST_PORT, LAST_PORT)
+            port = next(PORTS)
             probe = stack.enter_context(socket.socket())
             try:
                 probe.bind((HOST, port))
--- a/tests/integration/test_agent_links.py
+++ b/tests/integration/test_agent_links.py
@@ -24,6 +24,8 @@
             fleet.add_instance(name, failure_domain="c", with_entry=False)
         fleet.publish_instances()
         running = kept + fresh
+        # The start of processes depends on the machine and is no part of the target.
+        fleet.wait_until(lambda: all(fleet.read_status(name) for name in fresh))
 
         def is_settled():
             return fleet.all_see(running, running, "alive") and not any(
@@ -124,3 +126,24 @@
         assert all(fleet.all_see(names, [name], "alive") for name in names)
         revision = fleet.write_policy(SERVICE, 1)
         fleet.wait_in_force(names, 1, revision)
+
+
+def test_agents_join_again_after_a_cut():
+    """Guards against sides of a healed cut that think each other dead for good."""
+    with AgentFleet() as fleet:
+        names, controls = add_proxied_agents(fleet, 3)
+        for control in controls:
+            call(f"{control}/control", "POST", {"silent": True})
+        fleet.wait_until(
+            lambda: all(
+                list(fleet.get_states(name).values()).count("dead") == 2
+                for name in names
+            ),
+            SETTLE_TARGET_S,
+        )
+        # Each agent is alone now and reads the store itself.
+        revision = fleet.write_policy(SERVICE, 1)
+        fleet.wait_in_force(names, 1, revision)
+        for control in controls:
+            call(f"{control}/control", "POST", {"silent": False})
+        fleet.wait_until(lambda: fleet.all_see(names, names, "alive"), SETTLE_TARGET_S)
--- a/tests/integration/test_distribution.py
+++ b/tests/integration/test_distribution.py
@@ -94,9 +94,12 @@
         fresh = fleet.write_policy(SERVICE, 3)
         fleet.wait_in_force(names, 3, fresh)
         for version in range(4, 8):
-            fleet.write_policy(SERVICE, version)
+            last = fleet.write_policy(SERVICE, version)
+        fleet.wait_in_force(names, 7, last)
         fleet.kill(f"{reader}-agent")
         fleet.start_agent(reader)
+        fleet.wait_until(lambda: fleet.read_status(reader)["reader"])
+        # Longer than the wait of a new agent for its first peer.
         time.sleep(3.0)
         assert fleet.is_in_force(names, 2, kept)
         states = [
