Give each suspicion its own time and its own pause after a refutation

Cause: a suspicion of a higher incarnation kept the timer of the refuted one, so a member could be declared dead before its 2 s; after a refutation every agent that had heard of the suspicion kept from suspecting for 10 s, which delays the detection of a real failure. Change: the timer starts again with each incarnation; only the agent that raised a refuted suspicion waits. Result: tests of members pass; they fail without either rule (mutated, run, restored).

--- a/src/verbenacross/membership/member_table.py
+++ b/src/verbenacross/membership/member_table.py
@@ -46,6 +46,7 @@
         self.version = 0
         self._digest = hash_member(local)
         self._suspicions: dict[str, float] = {}
+        self._own_suspicions: set[str] = set()
         self._refuted: dict[str, float] = {}
         self._ended: dict[str, float] = {}
 
@@ -85,6 +86,7 @@
             return False
         if now < self._refuted.get(instance, 0.0):
             return False
+        self._own_suspicions.add(instance)
         self._store(known._replace(state="suspect"), now)
         return True
 
@@ -131,13 +133,14 @@
     def _store(self, member: MemberUpdate, now: float) -> None:
         instance = member.instance
         previous = self.members.get(instance)
-        was_suspect = previous is not None and previous.state == "suspect"
-        if was_suspect and member.state == "alive":
+        if member.state != "suspect" and instance in self._own_suspicions:
+            self._own_suspicions.remove(instance)
             self._refuted[instance] = now + REFUTED_SUSPICION_PAUSE_S
+        is_renewed = previous is None or previous.incarnation != member.incarnation
+        if member.state != "suspect" or is_renewed:
+            self._suspicions.pop(instance, None)
         if member.state == "suspect":
             self._suspicions.setdefault(instance, now + SUSPICION_S)
-        else:
-            self._suspicions.pop(instance, None)
         if member.state in PRESENT_STATES:
             self._ended.pop(instance, None)
         else:
--- a/tests/membership/test_member_table.py
+++ b/tests/membership/test_member_table.py
@@ -73,6 +73,10 @@
     assert [table.members[name].state for name in "ab"] == ["alive", "dead"]
     assert not table.suspect("a", 3.0)
     assert table.suspect("a", 20.0)
+    # Another agent's broken path does not keep this one from suspecting.
+    table.merge(build_member("c", "suspect"), 20.0)
+    table.merge(build_member("c", incarnation=2), 20.5)
+    assert table.suspect("c", 21.0)
     table.restart_suspicions(30.0)
     table.expire(31.0)
     assert table.members["a"].state == "suspect"
@@ -80,6 +84,15 @@
     assert table.members["b"].state == "dead"
 
 
+def test_new_suspicion_of_a_refuted_member_has_its_full_time():
+    """Guards against a death by the timer of a suspicion that was refuted."""
+    table = MemberTable(build_member("local"))
+    table.merge(build_member("a", "suspect"), 0.0)
+    table.merge(build_member("a", "suspect", incarnation=2), 1.5)
+    table.expire(2.5)
+    assert table.members["a"].state == "suspect"
+
+
 def test_pause_is_noticed():
     """Guards against a process that acts on what it knew before it was stopped."""
     detector = PauseDetector(0.1, now=0.0)
