--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -18,8 +18,8 @@
 
 HOST = "127.0.0.1"
 FIRST_PORT = 10_000
-PORT_BLOCKS = 110
-PORTS_PER_BLOCK = 200
+PORT_BLOCKS = 22
+PORTS_PER_BLOCK = 1_000
 PORT_NUMBERS = itertools.count()
 PORT_LOCKS: list[socket.socket] = []
 SHARED_KEY = "a shared key for local runs"
