Measure processor time without the state dumps, and permits after shards settle

Cause: a state dump with 25,000 upstreams fell into the window and made an idle agent look three times as busy (2.9% instead of 1.1% of a core); the permits of the own agent were those of the other one, as the first agent yields shards to the second after 3 s. Change: dumps are read outside the window; the holder is sought after 8 s.

--- a/measure/knowledge.py
+++ b/measure/knowledge.py
@@ -15,7 +15,7 @@
 import sys
 import threading
 import time
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 from standins.fleet import HOST, Fleet, call
 from verbenacross.agent.observation_spreader import SPREAD_KINDS
@@ -39,19 +39,11 @@
     from collections.abc import Callable, Sequence
 
 MS_PER_S = 1_000
-WINDOW_S = 6.0
+WINDOW_S = 10.0
 SETTLE_S = 8.0
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
-class Usage(NamedTuple):
-    """Processor seconds and bytes of the agents' peer links, totals so far."""
-
-    cpu_s: float
-    sent_bytes: int
-    received_bytes: int
-
-
 def start_agents(fleet: Fleet, count: int, **settings: Any) -> list[str]:
     """Starts instances without entries and waits until all know each other."""
     names = [f"instance-{index}" for index in range(count)]
@@ -68,30 +60,41 @@
     return int(fleet.read_state(name)["knowledge"]["alive"])
 
 
-def read_usage(fleet: Fleet, name: str) -> Usage:
-    """Returns what an agent has used so far."""
+def read_cpu_s(fleet: Fleet, name: str) -> float:
+    """Returns the processor seconds that an agent has used so far."""
     process = fleet.processes[f"{name}-agent"]
     with open(f"/proc/{process.pid}/stat") as file:
         fields = file.read().rpartition(")")[2].split()
-    moved = fleet.read_state(name)["peers"]["bytes"]
-    cpu_s = (int(fields[11]) + int(fields[12])) / TICKS_PER_S
-    return Usage(cpu_s, int(moved["sent"]), int(moved["received"]))
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def read_bytes(fleet: Fleet, name: str) -> dict[str, int]:
+    """Returns the bytes that an agent has exchanged with peers so far."""
+    return dict(fleet.read_state(name)["peers"]["bytes"])
 
 
 def measure_use(fleet: Fleet, names: Sequence[str]) -> dict[str, float]:
-    """Returns the mean use of the agents per second over a window."""
-    before = [read_usage(fleet, name) for name in names]
+    """Returns the mean use of the agents per second over a window.
+
+    The state dumps, which list every upstream, fall outside the window of the
+    processor time.
+    """
+    moved = [read_bytes(fleet, name) for name in names]
+    used = [read_cpu_s(fleet, name) for name in names]
+    started = time.monotonic()
     time.sleep(WINDOW_S)
-    after = [read_usage(fleet, name) for name in names]
-    pairs = list(zip(before, after, strict=True))
+    elapsed_s = time.monotonic() - started
+    used_s = [read_cpu_s(fleet, n) - u for n, u in zip(names, used, strict=True)]
+    ended = [read_bytes(fleet, name) for name in names]
 
-    def average(field: int) -> float:
-        return statistics.mean((b[field] - a[field]) / WINDOW_S for a, b in pairs)
+    def average(field: str) -> int:
+        pairs = zip(moved, ended, strict=True)
+        return round(statistics.mean((b[field] - a[field]) for a, b in pairs))
 
     return {
-        "cpu_percent": round(average(0) * 100, 2),
-        "sent_bytes_per_s": round(average(1)),
-        "received_bytes_per_s": round(average(2)),
+        "cpu_percent": round(statistics.mean(used_s) / elapsed_s * 100, 2),
+        "sent_bytes_per_s": round(average("sent") / elapsed_s),
+        "received_bytes_per_s": round(average("received") / elapsed_s),
     }
 
 
@@ -198,8 +201,9 @@
                     return True
             return False
 
+        # The agent that was first alone yields some shards to the second.
+        time.sleep(SETTLE_S)
         fleet.wait_until(find_holder)
-        time.sleep(3)
         other = next(name for name in names if name not in holders)
         return {
             "count": count,
