--- a/src/verbenacross/protocol/messages.py
+++ b/src/verbenacross/protocol/messages.py
@@ -89,6 +89,12 @@
     revision: Revision
 
 
+class StoreLoss(NamedTuple):
+    """The store came back at a lower revision than one that was known before."""
+
+    revision: Revision
+
+
 class MemberUpdate(NamedTuple):
     """What the sender knows of a member."""
 
@@ -238,6 +244,7 @@
     | BucketRequest
     | Watermark
     | SyncComplete
+    | StoreLoss
     | MemberUpdates
     | MemberDigest
     | Compressed
