--- a/measure/knowledge.py
+++ b/measure/knowledge.py
@@ -68,6 +68,14 @@
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
 
 
+def read_memory_mb(fleet: Fleet, name: str) -> float:
+    """Returns the resident memory of an agent in MB of 10^6 bytes."""
+    process = fleet.processes[f"{name}-agent"]
+    with open(f"/proc/{process.pid}/statm") as file:
+        pages = int(file.read().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
 def read_bytes(fleet: Fleet, name: str) -> dict[str, int]:
     """Returns the bytes that an agent has exchanged with peers so far."""
     return dict(fleet.read_state(name)["peers"]["bytes"])
@@ -79,6 +87,7 @@
     The state dumps, which list every upstream, fall outside the window of the
     processor time.
     """
+    memory_mb = [read_memory_mb(fleet, name) for name in names]
     moved = [read_bytes(fleet, name) for name in names]
     used = [read_cpu_s(fleet, name) for name in names]
     started = time.monotonic()
@@ -95,6 +104,7 @@
         "cpu_percent": round(statistics.mean(used_s) / elapsed_s * 100, 2),
         "sent_bytes_per_s": round(average("sent") / elapsed_s),
         "received_bytes_per_s": round(average("received") / elapsed_s),
+        "memory_mb": round(statistics.mean(memory_mb), 1),
     }
 
 
