--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -20,7 +20,7 @@
 from .trace import write_traces
 
 if TYPE_CHECKING:
-    from .scenario import Deployment
+    from .scenario import Deployment, Scenario
 
 START_ATTEMPTS = 3
 SHORT_DURATION_S = 4.0
@@ -38,6 +38,7 @@
     parser.add_argument("--seconds", type=float, default=0.0)
     parser.add_argument("--scenarios", default="", help="names, with commas")
     parser.add_argument("--arms", default="", help="names, with commas")
+    parser.add_argument("--utilization", type=float, help="instead of the scenario's")
     parser.add_argument("--traces", default="", help="directory for traces")
     return parser.parse_args()
 
@@ -49,10 +50,18 @@
     return list(allowed) or [*SHORT_ARMS, "default", "central"]
 
 
+def set_utilization(scenario: Scenario, utilization: float | None) -> Scenario:
+    """Returns the scenario with another utilization, if one is given."""
+    if utilization is None:
+        return scenario
+    workload = scenario.workload._replace(utilization=utilization)
+    return scenario._replace(workload=workload)
+
+
 def run_deployment(name: str, arguments: argparse.Namespace) -> dict[str, Any]:
     """Runs the chosen scenarios of one deployment, arms in turn within each seed."""
     chosen = [
-        scenario
+        set_utilization(scenario, arguments.utilization)
         for scenario in SCENARIOS
         if scenario.deployment == name
         and (not arguments.scenarios or scenario.name in arguments.scenarios.split(","))
--- a/measure/bench.py
+++ b/measure/bench.py
@@ -135,7 +135,6 @@
             results = self._send(scenario, arm, seed, arrivals, start)
         for server in self._servers[scenario.workload.services[0]]:
             self._fleet.set_behaviour(server, **QUIET_BEHAVIOUR)
-        results = [item for item in results if item["due"] >= start + WARM_UP_S]
         window = (start + duration_s * CREST_STARTS, start + duration_s * CREST_ENDS)
         self.cells.append(Cell(scenario, arm, seed, start, window, results))
         time.sleep(SETTLE_S)
@@ -151,7 +150,12 @@
                 "seed": cell.seed,
                 "probes_per_second": probes / elapsed / max(1, self._count_servers()),
                 **summarize(
-                    cell.results, ledger, SLOTS, self._count_slots(cell), cell.window
+                    cell.results,
+                    ledger,
+                    SLOTS,
+                    self._count_slots(cell),
+                    cell.window,
+                    cell.started + WARM_UP_S,
                 ),
             }
             for cell in self.cells
--- a/measure/cell_result.py
+++ b/measure/cell_result.py
@@ -51,21 +51,25 @@
     slots: int,
     slots_total: int,
     window: tuple[float, float],
+    counts_from: float,
 ) -> dict[str, Any]:
     """Returns the figures of a run.
 
     ``window`` is the time in which goodput is counted: work answered as a share of what
-    all slots can do.
+    all slots can do. Everything else is about requests due at ``counts_from`` or later.
     """
+    done_ms = sum(
+        entry["work_ms"]
+        for entry in results
+        if entry["status"] == HTTP_OK and window[0] <= entry["done"] < window[1]
+    )
+    results = [entry for entry in results if entry["due"] >= counts_from]
     answered = [result for result in results if result["status"] == HTTP_OK]
     short = [entry for entry in answered if entry["size"] == "short"]
     latencies = [entry["done"] - entry["due"] for entry in short]
     long_latencies = [
         entry["done"] - entry["due"] for entry in answered if entry["size"] == "long"
     ]
-    done_ms = sum(
-        entry["work_ms"] for entry in answered if window[0] <= entry["done"] < window[1]
-    )
     capacity_ms = slots_total * (window[1] - window[0]) * 1e3
     refused = [result for result in results if result["status"] == HTTP_UNAVAILABLE]
     return {
--- a/measure/trace.py
+++ b/measure/trace.py
@@ -1,4 +1,4 @@
-"""Writes what one entry saw in a run as JSON lines, for replay in tests."""
+"""Writes what callers saw in a run as JSON lines, for replay in tests."""
 
 from __future__ import annotations
 
@@ -10,7 +10,6 @@
     from .bench import Cell
 
 TRACED_ARM = "round_robin"
-TRACED_ENTRY = 0
 MS_PER_S = 1_000
 
 
@@ -41,7 +40,7 @@
 
 
 def build_rows(cell: Cell) -> list[dict[str, Any]]:
-    """Returns the requests of the entry in order of their answers."""
+    """Returns the answered requests in order of their answers."""
     rows = [
         {
             "sent_ms": round((item["due"] - cell.started) * MS_PER_S),
@@ -52,6 +51,6 @@
             "in_flight": item["reported"],
         }
         for item in cell.results
-        if item["entry"] == TRACED_ENTRY and item.get("upstream")
+        if item.get("upstream")
     ]
     return sorted(rows, key=lambda row: row["done_ms"])
--- a/tests/limits/test_service_gate.py
+++ b/tests/limits/test_service_gate.py
@@ -205,3 +205,14 @@
     assert before == 6
     assert lowered <= 4
     assert state.limit >= 6
+
+
+async def test_deadline_behind_others_is_refused_at_once():
+    """Guards the prediction: time alone would suffice, but not behind the queue."""
+    clock = Clock()
+    gate, policy = build_gate(clock)
+    await fill(gate, build_context(policy))
+    await start_waiting(gate, *[build_context(policy, priority=9)] * 20)
+    (task,) = await start_waiting(gate, build_context(policy, clock.now + 0.5))
+    assert task.done()
+    assert (await get_refusal(task)).retry_after_s >= 1
--- a/tests/routing/test_service_router.py
+++ b/tests/routing/test_service_router.py
@@ -217,3 +217,37 @@
     while (state := router.choose(context)) is not None:
         router.start(state, context)
     assert router.in_flight == 2
+
+
+def test_one_failure_makes_an_upstream_look_busier(clock):
+    """Guards the penalty before an ejection, and where the cap allows none."""
+    router = build_router(clock)
+    context = build_context(build_policy())
+    run_request(router, clock, context, lambda _: 0.01)
+    failed = run_request(router, clock, context, lambda _: 0.01, failed=True)
+    assert failed not in count_choices(router, clock, context, 50)
+
+
+def test_overdue_request_outweighs_a_lower_load(clock):
+    """Guards the age of requests in flight: fewer of them are no sign of room."""
+    router = build_router(clock)
+    context = build_context(build_policy())
+    for _ in range(100):
+        run_request(router, clock, context, lambda _: 0.01)
+    stuck, *others = router.get_states()
+    router.start(stuck, context)
+    clock.now += 0.2
+    for state in others * 2:
+        router.start(state, context)
+    assert router.choose(context) is not stuck
+
+
+def test_entry_below_its_share_sends_although_reports_say_full(clock):
+    """Guards against requests that wait while wrong reports keep slots idle."""
+    router = build_router(clock, peers=4)
+    context = build_context(build_policy())
+    for state in router.get_states():
+        router.start(state, context)
+        outcome = AttemptOutcome(0.0, load=LoadReport(7))
+        router.finish(state, outcome, context.policy)
+    assert router.choose(context) is not None
