--- a/src/verbenacross/routing/subset.py
+++ b/src/verbenacross/routing/subset.py
@@ -27,7 +27,7 @@
     ``connections`` is the limit of an upstream over all entries. Both sides stand in
     order of the hashes of their ids; entry i of n uses the upstreams from position
     i * s / n on. Every upstream is used by the same number of entries, give or take
-    one, and one instance more or less shifts a subset by at most one upstream.
+    one, and one instance more or less shifts a subset by about one upstream.
     """
     ranked = sorted({*peers, own}, key=hash_identifier)
     ordered = sorted(upstreams, key=hash_identifier)
--- a/tests/integration/test_decisions.py
+++ b/tests/integration/test_decisions.py
@@ -72,12 +72,16 @@
 
 
 async def test_one_server_slowed_ten_times(fleet):
-    """Guards the target: p99 at most half of round robin's."""
+    """Guards the target: p99 at most half of round robin's.
+
+    Round robin gets so little work that its slowed server does not overflow; a backlog
+    there would let any chooser pass.
+    """
     servers, urls = start(fleet, 4)
     fleet.set_behaviour(servers[0], slowdown=10)
-    plain = await send(urls, "2", [(60, 3)], 50)
-    await send(urls, "1", [(60, 1)], 50)
-    results = await send(urls, "1", [(120, 4)], 50)
+    plain = await send(urls, "2", [(20, 4)], 50)
+    await send(urls, "1", [(60, 2)], 50)
+    results = await send(urls, "1", [(150, 4)], 50)
     assert all(item["status"] == 200 for item in results)
     assert get_p99_ms(results) <= get_p99_ms(plain) / 2
 
