--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -119,7 +119,11 @@
     output: dict[str, Any] = {"load_average_before": os.getloadavg()}
     rows = []
     for name in DEPLOYMENTS:
-        measured = run_deployment(name, arguments)
+        try:
+            measured = run_deployment(name, arguments)
+        except StartError as error:
+            print(f"no figures of {name}: {error}", file=sys.stderr)
+            continue
         rows += measured.pop("rows")
         output[name] = measured
     merged = merge_seeds(rows)
@@ -134,7 +138,7 @@
     path.write_text(json.dumps(output, indent=2))
     print(format_table(merged))
     for name in DEPLOYMENTS:
-        if output[name]:
+        if output.get(name):
             print(f"added latency {name} (ms): {output[name]['added_latency_ms']}")
     print(f"{output['seconds']:.0f} s, load average {os.getloadavg()}; JSON in {path}")
 
