--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -79,7 +79,7 @@
         for seed in range(1, (arguments.seeds or (1 if arguments.short else 3)) + 1):
             for scenario in chosen:
                 allowed = get_arm_names(arguments, scenario.arms)
-                # Rotated, so that no arm always runs first on a machine that others use.
+                # Rotated, so that no arm always runs first on a shared machine.
                 for arm in arms[seed % len(arms) :] + arms[: seed % len(arms)]:
                     if arm.name in allowed:
                         bench.run_cell(scenario, arm, duration_s, seed)
