--- a/tests/routing/test_service_router.py
+++ b/tests/routing/test_service_router.py
@@ -248,6 +248,6 @@
     context = build_context(build_policy())
     for state in router.get_states():
         router.start(state, context)
-        outcome = AttemptOutcome(0.0, load=LoadReport(7))
+        outcome = AttemptOutcome(0.0, load=LoadReport(20))
         router.finish(state, outcome, context.policy)
     assert router.choose(context) is not None
