Wait longer for heads that may merely be slow

Cause: at the crest a short idempotent request on a reused connection was given up after half of its remaining time, while an upstream worked on it. Change: it is given up no earlier than four times the typical latency of its class.

--- a/src/verbenacross/entry/exchange.py
+++ b/src/verbenacross/entry/exchange.py
@@ -47,6 +47,7 @@
 MS_PER_S = 1_000
 HTTP_SERVER_ERROR = 500
 SILENCE_SHARE = 0.5
+SILENCE_FACTOR = 4.0
 RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 
 DEADLINE_EXCEEDED = Refusal(
@@ -191,12 +192,18 @@
         """Ends the wait for a head on a reused connection after half of the time.
 
         An open connection can go silent for good while new ones work. Only short
-        idempotent requests are given up early, and only if they may be sent again.
+        idempotent requests are given up early, and only if they may be sent again. An
+        answer that may merely be slow is waited for: giving it up at the crest of a
+        swing wastes the slot that works on it.
         """
         context = self._context
         if not context.idempotent or context.request_class.size == "long":
             return None
-        wait_s = self._get_remaining_s() * SILENCE_SHARE
+        remaining_s = self._get_remaining_s()
+        typical_s = self._gate.get_typical_s(context)
+        wait_s = max(remaining_s * SILENCE_SHARE, typical_s * SILENCE_FACTOR)
+        if wait_s >= remaining_s:
+            return None
         loop = asyncio.get_running_loop()
         return loop.call_later(wait_s, self._give_up_early, limit, guard)
 
--- a/src/verbenacross/limits/service_gate.py
+++ b/src/verbenacross/limits/service_gate.py
@@ -120,6 +120,10 @@
             self._permits.release(context, identifier)
             unusable.add(identifier)
 
+    def get_typical_s(self, context: RequestContext) -> float:
+        """Returns the typical latency of the request's class, in seconds."""
+        return self.router.latencies.get_typical_s(context.request_class.name)
+
     def dispatch(self) -> None:
         """Gives upstreams with room to waiting requests; refuses late ones."""
         passed_over = 0
@@ -204,7 +208,7 @@
 
     def _is_late(self, context: RequestContext, wait_s: float) -> bool:
         """Returns whether a request that waits so long would miss its deadline."""
-        typical_s = self.router.latencies.get_typical_s(context.request_class.name)
+        typical_s = self.get_typical_s(context)
         needed_s = wait_s + LATENCY_MARGIN * typical_s
         return self.router.clock() + needed_s > context.deadline
 
