Reserve a range of ports for each process that starts fleets

Cause: one of 66 starts of a fleet failed since two test workers had chosen the same port before either used it ("address already in use" in the entry's log). Change: each process locks a range of 1,000 ports for its lifetime.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import fcntl
+import functools
 import itertools
 import json
 import pathlib
-import random
 import signal
 import socket
 import subprocess
@@ -15,7 +16,10 @@
 import urllib.error
 import urllib.request
 from contextlib import ExitStack
-from typing import Any, NamedTuple
+from typing import IO, TYPE_CHECKING, Any, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 HOST = "127.0.0.1"
 SHARED_KEY = "a shared key for local runs"
@@ -24,11 +28,8 @@
 POLL_INTERVAL_S = 0.02
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
-FIRST_OFFSET = random.randrange(LAST_PORT - FIRST_PORT)
-PORTS = itertools.cycle(
-    FIRST_PORT + (FIRST_OFFSET + step) % (LAST_PORT - FIRST_PORT)
-    for step in range(LAST_PORT - FIRST_PORT)
-)
+PORTS_PER_PROCESS = 1_000
+LOCKS: list[IO[str]] = []
 
 
 class Ports(NamedTuple):
@@ -41,6 +42,30 @@
     entry_admin: int
 
 
+def reserve_ports() -> Iterator[int]:
+    """Returns the ports of a range that no other process of this kind uses, in turn.
+
+    A lock that lasts as long as the process keeps the range.
+    """
+    for first in range(FIRST_PORT, LAST_PORT, PORTS_PER_PROCESS):
+        path = pathlib.Path(tempfile.gettempdir(), f"verbenacross-ports-{first}.lock")
+        lock = path.open("w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        LOCKS.append(lock)
+        return itertools.cycle(range(first, first + PORTS_PER_PROCESS))
+    raise RuntimeError("every range of ports is in use")
+
+
+@functools.cache
+def get_ports() -> Iterator[int]:
+    """Returns the ports of this process, in turn."""
+    return reserve_ports()
+
+
 def find_free_ports(count: int) -> list[int]:
     """Returns ports that were free; all differ.
 
@@ -51,7 +76,7 @@
     ports: list[int] = []
     with ExitStack() as stack:
         while len(ports) < count:
-            port = next(PORTS)
+            port = next(get_ports())
             probe = stack.enter_context(socket.socket())
             try:
                 probe.bind((HOST, port))
