Keep slots busy at the crest: no early give-up on busy upstreams, less headroom

The ledgers showed 16 cancelled attempts, as many as retries spent: requests on reused connections were given up as silent while a busy upstream worked on them. After that, 1 of 385 requests still missed its deadline on an upstream whose queue two entries had filled at once with limits of 1.5 times the slots. Ruled out: processor load (load average 0.2), the thin forwarder (it passed). Change: a request is given up early only if the upstream has answered nothing since or has answered a later one; headroom is what the way to the upstream needs, 20 ms over the mean latency, up to concurrency_headroom; a request that must wait needs 3 times the typical latency left instead of 2.5.

--- a/measure/agent_host.py
+++ b/measure/agent_host.py
@@ -26,7 +26,7 @@
 from verbenacross.platform import HttpInstanceList, HttpKeyValueStore
 from verbenacross.policy import PolicyRecord, PolicyTable
 from verbenacross.settings import AgentSettings, EntrySettings
-from verbenacross.upstreams import UpstreamDirectory
+from verbenacross.upstreams import ObservationTable, UpstreamDirectory
 
 
 class HostedInstance:
@@ -49,7 +49,9 @@
             settings.entry_listen,
             settings.store_url,
         )
-        self.link = AgentLink(entry, self.table, UpstreamDirectory())
+        self.link = AgentLink(
+            entry, self.table, UpstreamDirectory(), ObservationTable()
+        )
 
     async def run(self) -> None:
         """Runs agent and link until cancelled."""
--- a/src/verbenacross/entry/exchange.py
+++ b/src/verbenacross/entry/exchange.py
@@ -152,7 +152,7 @@
         attempt_id = f"{self._context.request_id}.{random.getrandbits(32):08x}"
         try:
             async with asyncio.timeout(self._get_remaining_s()) as limit:
-                early = self._limit_silence(limit, guard)
+                early = self._limit_silence(limit, guard, upstream)
                 try:
                     answer = await self._send(upstream, headers, attempt_id, guard)
                 finally:
@@ -187,7 +187,7 @@
             self._gate.release(self._context, upstream, outcome)
 
     def _limit_silence(
-        self, limit: asyncio.Timeout, guard: AttemptGuard
+        self, limit: asyncio.Timeout, guard: AttemptGuard, upstream: UpstreamState
     ) -> asyncio.TimerHandle | None:
         """Ends the wait for a head on a reused connection after half of the time.
 
@@ -205,9 +205,20 @@
         if wait_s >= remaining_s:
             return None
         loop = asyncio.get_running_loop()
-        return loop.call_later(wait_s, self._give_up_early, limit, guard)
+        started = time.monotonic()
+        return loop.call_later(
+            wait_s, self._give_up_early, limit, guard, upstream, started
+        )
 
-    def _give_up_early(self, limit: asyncio.Timeout, guard: AttemptGuard) -> None:
+    def _give_up_early(
+        self,
+        limit: asyncio.Timeout,
+        guard: AttemptGuard,
+        upstream: UpstreamState,
+        started: float,
+    ) -> None:
+        if not upstream.has_passed_over(started):
+            return
         if guard.is_reused() and self._may_retry(Execution.UNKNOWN):
             self._gave_up_early = True
             limit.reschedule(asyncio.get_running_loop().time())
--- a/src/verbenacross/limits/service_gate.py
+++ b/src/verbenacross/limits/service_gate.py
@@ -23,7 +23,7 @@
 MAX_PASSED_OVER = 8
 # Half of all requests take longer than the typical latency; one that has less than
 # this multiple of it left would often use a slot and still be late.
-LATENCY_MARGIN = 2.5
+LATENCY_MARGIN = 3.0
 
 
 class ServiceGate:
--- a/src/verbenacross/policy/policy.py
+++ b/src/verbenacross/policy/policy.py
@@ -74,8 +74,9 @@
 class LimitOptions(NamedTuple):
     """Bounds on waiting and on long work.
 
-    ``concurrency_headroom`` is where the limit of an upstream starts, as a multiple of
-    its slots: requests on their way to and from it count as in flight as well. Without
+    ``concurrency_headroom`` is the most that the limit of an upstream starts at, as a
+    multiple of its slots: requests on their way to and from it count as in flight as
+    well. Long requests need less, since the way is short compared with them. Without
     ``adaptive_concurrency`` requests wait on upstreams, never in the entry.
     """
 
--- a/src/verbenacross/routing/service_router.py
+++ b/src/verbenacross/routing/service_router.py
@@ -28,6 +28,7 @@
 MS_PER_S = 1_000
 REFRESH_INTERVAL_S = 0.01
 DRAINING_S = 30.0
+HANDOVER_S = 0.02
 MIN_LIMIT_FACTOR = 0.5
 MAX_LIMIT_FACTOR = 2.0
 LIMIT_DECREASE = 0.85
@@ -180,6 +181,7 @@
             return
         ratio = self.latencies.get_ratio(attempt.class_name, latency_s)
         if not outcome.failed:
+            state.note_answer(attempt.started, now)
             self.latencies.add(attempt.class_name, latency_s)
             self._estimator.horizon_s = self.latencies.mean_s
         detects = policy is not None and policy.routing.outlier_detection
@@ -313,12 +315,21 @@
         slots: float = policy.upstreams.slots * len(self._usable)
         if self._subset is not None and self._states:
             slots = slots * len(self._states) / max(1, len(self._subset.upstreams))
-        return math.ceil(slots * policy.limits.concurrency_headroom / peers)
+        return math.ceil(slots * self._get_headroom(policy) / peers)
 
     def _get_limit(self, state: UpstreamState, policy: Policy) -> float:
-        start = policy.upstreams.slots * policy.limits.concurrency_headroom
+        start = policy.upstreams.slots * self._get_headroom(policy)
         return state.limit_factor * start
 
+    def _get_headroom(self, policy: Policy) -> float:
+        """Returns the requests in flight that keep a slot busy.
+
+        A slot is idle between two requests for the way to and from the entry. More than
+        that waits on the upstream, where no other choice is possible.
+        """
+        needed = 1 + HANDOVER_S / self.latencies.mean_s
+        return min(policy.limits.concurrency_headroom, needed)
+
     def _lower_limit(self, state: UpstreamState) -> None:
         lowered = state.limit_factor * LIMIT_DECREASE
         state.limit_factor = max(MIN_LIMIT_FACTOR, lowered)
--- a/src/verbenacross/routing/upstream_state.py
+++ b/src/verbenacross/routing/upstream_state.py
@@ -26,6 +26,7 @@
     """
 
     __slots__ = (
+        "answered_at",
         "attempts",
         "draining_until",
         "ejected_until",
@@ -38,6 +39,7 @@
         "limit_changed",
         "limit_factor",
         "near",
+        "newest_answered",
         "ramp_started",
         "report_trust",
         "reported_at",
@@ -52,6 +54,8 @@
         self.near = True
         self.in_flight = 0
         self.attempts: list[AttemptStart] = []
+        self.answered_at = -math.inf
+        self.newest_answered = -math.inf
         self.reported_in_flight = 0
         self.reported_at = -math.inf
         self.in_flight_at_report = 0
@@ -78,3 +82,16 @@
         found = min(self.attempts, key=lambda attempt: abs(attempt.started - started))
         self.attempts.remove(found)
         return found
+
+    def note_answer(self, started: float, now: float) -> None:
+        """Notes a whole answer to an attempt that started at a time."""
+        self.answered_at = now
+        self.newest_answered = max(self.newest_answered, started)
+
+    def has_passed_over(self, started: float) -> bool:
+        """Returns whether an attempt without an answer seems lost.
+
+        Either the upstream has answered nothing since the attempt started, or it has
+        answered a later one. A busy upstream answers earlier attempts meanwhile.
+        """
+        return self.answered_at < started or self.newest_answered > started
