Remove the last import of uvloop

Cause: a clean clone failed in the type checker, since measure/agent_host.py still imported uvloop, which was installed on the developers' machine only. Change: the hosts of the distribution measurement use asyncio.run.

--- a/measure/agent_host.py
+++ b/measure/agent_host.py
@@ -16,7 +16,6 @@
 from typing import Any
 
 import aiohttp
-import uvloop
 from aiohttp import web
 from pydantic import TypeAdapter
 
@@ -133,7 +132,7 @@
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("settings")
     configure_logs("WARNING")
-    uvloop.run(run(parser.parse_args()))
+    asyncio.run(run(parser.parse_args()))
 
 
 if __name__ == "__main__":
