Let the drain test reach both upstreams by random choice

Cause: in a clean-clone run test_drain_seen_once_stops_every_entry[header] did not end: it calls until the draining upstream answers, and the router, which chooses by estimated load, kept sending calls that came one after another to the other one. Change: the fleet of these tests uses random choice without outlier detection. Conclusion: what the test guards, no work 3 s after the signal, is unchanged.

--- a/tests/integration/test_upstream_knowledge.py
+++ b/tests/integration/test_upstream_knowledge.py
@@ -28,7 +28,12 @@
             fleet.add_instance(name, with_entry=with_entry)
         fleet.publish_instances()
         fleet.write_policy(
-            "web", 1, classes=CLASSES, measuring={"probes_per_second": rate}
+            "web",
+            1,
+            classes=CLASSES,
+            measuring={"probes_per_second": rate},
+            # By load, calls sent one after another may never reach one of the two.
+            routing={"chooser": "random", "outlier_detection": False},
         )
         fleet.wait_ready()
         fleet.wait_until(lambda: all(is_joined(fleet, name) for name in NAMES))
