--- a/src/verbenacross/entry/attempt_request.py
+++ b/src/verbenacross/entry/attempt_request.py
@@ -2,20 +2,35 @@
 
 from __future__ import annotations
 
+import weakref
 from typing import TYPE_CHECKING
 
 import aiohttp
 
 if TYPE_CHECKING:
+    import asyncio
+
     from aiohttp.connector import Connection
 
+# Connections that have carried a request; the HTTP client does not tell.
+USED_PROTOCOLS: weakref.WeakSet[asyncio.BaseProtocol] = weakref.WeakSet()
+
 
 class AttemptRequest(aiohttp.ClientRequest):
-    """HTTP client request that notes when its first byte may leave."""
+    """HTTP client request that notes when its first byte may leave.
+
+    ``reused`` tells whether its connection carried a request before.
+    """
 
     may_have_left = False
+    reused = False
 
     async def send(self, conn: Connection) -> aiohttp.ClientResponse:
         """Sends the request on an open connection."""
+        protocol = conn.protocol
+        if protocol in USED_PROTOCOLS:
+            self.reused = True
+        elif protocol is not None:
+            USED_PROTOCOLS.add(protocol)
         self.may_have_left = True
         return await super().send(conn)
--- a/src/verbenacross/entry/entry.py
+++ b/src/verbenacross/entry/entry.py
@@ -72,6 +72,7 @@
         self._gates: dict[str, ServiceGate] = {}
         self._generator = random.Random()
         self._stopping = asyncio.Event()
+        self._listening = False
         self._refusals = Counter(
             "verbenacross_refusals_total",
             "Refused requests by problem",
@@ -115,6 +116,7 @@
         address = self.settings.listen
         site = web.TCPSite(runner, address.host, address.port, backlog=LISTEN_BACKLOG)
         await site.start()
+        self._listening = True
         logger.info("entry started", extra={"listen": str(address)})
         await self._stopping.wait()
         await self._shut_down(site)
@@ -136,8 +138,9 @@
         self._stopping.set()
 
     def is_ready(self) -> bool:
-        """Returns whether the entry has policies and is not stopping."""
-        return self.link.synchronized and not self._stopping.is_set()
+        """Returns whether the entry listens, has policies and is not stopping."""
+        ready = self._listening and self.link.synchronized
+        return ready and not self._stopping.is_set()
 
     def dump_state(self) -> dict[str, Any]:
         """Returns the state of the process as a JSON object."""
--- a/src/verbenacross/entry/exchange.py
+++ b/src/verbenacross/entry/exchange.py
@@ -151,7 +151,7 @@
         attempt_id = f"{self._context.request_id}.{random.getrandbits(32):08x}"
         try:
             async with asyncio.timeout(self._get_remaining_s()) as limit:
-                early = self._limit_silence(limit)
+                early = self._limit_silence(limit, guard)
                 try:
                     answer = await self._send(upstream, headers, attempt_id, guard)
                 finally:
@@ -184,23 +184,23 @@
             latency_s = time.monotonic() - started
             self._gate.release(upstream, outcome._replace(latency_s=latency_s))
 
-    def _limit_silence(self, limit: asyncio.Timeout) -> asyncio.TimerHandle | None:
-        """Ends a wait for a head on a reused connection after half of the time.
+    def _limit_silence(
+        self, limit: asyncio.Timeout, guard: AttemptGuard
+    ) -> asyncio.TimerHandle | None:
+        """Ends the wait for a head on a reused connection after half of the time.
 
         An open connection can go silent for good while new ones work. Only short
-        idempotent requests on reused connections are given up early, and only if they
-        may be sent again.
+        idempotent requests are given up early, and only if they may be sent again.
         """
         context = self._context
-        reused = context.idempotent and not self._tried
-        if not reused or context.request_class.size == "long":
+        if not context.idempotent or context.request_class.size == "long":
             return None
         wait_s = self._get_remaining_s() * SILENCE_SHARE
         loop = asyncio.get_running_loop()
-        return loop.call_later(wait_s, self._give_up_early, limit)
+        return loop.call_later(wait_s, self._give_up_early, limit, guard)
 
-    def _give_up_early(self, limit: asyncio.Timeout) -> None:
-        if self._may_retry(Execution.UNKNOWN):
+    def _give_up_early(self, limit: asyncio.Timeout, guard: AttemptGuard) -> None:
+        if guard.is_reused() and self._may_retry(Execution.UNKNOWN):
             self._gave_up_early = True
             limit.reschedule(asyncio.get_running_loop().time())
 
--- a/src/verbenacross/entry/key_leases.py
+++ b/src/verbenacross/entry/key_leases.py
@@ -10,6 +10,7 @@
     from ..platform import KeyValueStore
 
 MS_PER_S = 1_000
+MIN_WINDOW_S = 1.0
 MAX_WINDOW_S = 3_600.0
 WINDOWS_PER_RETENTION = 24
 
@@ -40,7 +41,8 @@
             lease = self._leases.get(retention_s)
             if lease is not None and time.monotonic() < lease.usable_until:
                 return lease.identifier
-            window_s = min(MAX_WINDOW_S, retention_s / WINDOWS_PER_RETENTION)
+            window_s = retention_s / WINDOWS_PER_RETENTION
+            window_s = min(MAX_WINDOW_S, max(MIN_WINDOW_S, window_s))
             usable_until = time.monotonic() + window_s
             lifetime_ms = int((retention_s + window_s) * MS_PER_S)
             identifier = await self._store.grant_lease(lifetime_ms)
--- a/tests/integration/entry/test_at_most_once.py
+++ b/tests/integration/entry/test_at_most_once.py
@@ -83,6 +83,8 @@
     answer = path.call(
         "/work/once", method, X_Work_Id=work, Request_Timeout_Ms=2_000, X_Work_Ms=1
     )
+    for upstream in path.upstreams:
+        path.fleet.fault_open_connections(upstream, "reset")
     assert answer[0] == 200
     assert len(path.find_runs(work)) == 1
 
@@ -93,6 +95,7 @@
     path.fleet.add_upstream("gone", 1)
     path.fleet.write_policy("gone", 1)
     path.fleet.publish_instances()
+    path.fleet.wait_ready()
     assert wait_for(lambda: path.call("/gone/x")[0] == 200, 10.0)
     path.fleet.kill(gone)
     statuses = [path.call("/gone/post", "POST")[0] for _ in range(8)]
