--- a/src/verbenacross/agent/directory_sync.py
+++ b/src/verbenacross/agent/directory_sync.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import logbook
+from reactivex.subject import Subject
 
 from ..platform.exceptions import InstanceListError
 from ..protocol.messages import MAX_IDENTIFIER_CHARACTERS, DirectoryUpdates
@@ -43,6 +44,7 @@
 
     Changes are broadcast at once. Every ``DIGEST_INTERVAL_S`` each agent sends its
     digest on its links; on a mismatch the two agents exchange the differing buckets.
+    ``readings`` emits the number of listed instances after each reading.
     """
 
     def __init__(
@@ -59,6 +61,9 @@
         self._replica = replica
         self._reader = ListReader(replica, settings.instance)
         self._sender = sender
+        self.readings: Subject[int] = Subject()
+        self._last_reading: tuple[Instance, ...] | None = None
+        self._usable: tuple[Instance, ...] = ()
         self._asked_at = -ASK_INTERVAL_S
 
     async def run(self) -> None:
@@ -115,15 +120,22 @@
         except InstanceListError as error:
             logger.warning("instance list cannot be read: {}", error)
             return
+        if reading is not self._last_reading:
+            self._last_reading = reading
+            self._usable = self._drop_unusable(reading)
+        taken = self._reader.take(self._usable)
+        self.readings.on_next(len(self._usable))
+        if taken and not was_empty:
+            self._broadcast(taken)
+
+    def _drop_unusable(self, reading: tuple[Instance, ...]) -> tuple[Instance, ...]:
         usable = tuple(instance for instance in reading if is_usable(instance))
         if len(usable) < len(reading):
             logger.warning(
                 "{} listed instances have an empty or too long field",
                 len(reading) - len(usable),
             )
-        taken = self._reader.take(usable)
-        if taken and not was_empty:
-            self._broadcast(taken)
+        return usable
 
     def _broadcast(
         self, entries: tuple[DirectoryEntry, ...], received_from: str | None = None
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -139,7 +139,7 @@
             self.start(
                 f"{identifier}-proxy",
                 ["-m", "standins.fault_proxy", "--port", str(proxy_port)]
-                + ["--control-port", str(control_port), "--server", f"{HOST}:{port}"],
+                + ["--control-port", str(control_port), "--target", f"{HOST}:{port}"],
             )
         listed = proxy_port if proxied else port
         self._list_instance(identifier, service, listed, failure_domain)
@@ -200,19 +200,34 @@
 
     def set_proxy_faults(self, upstream: str, **faults: Any) -> None:
         """Sets faults of the proxy in front of an upstream."""
-        url = f"http://{HOST}:{self.proxy_control_ports[upstream]}/control"
-        call(url, "POST", faults)
+        self._control_proxy(upstream, "control", faults)
 
-    def fault_open_connections(self, upstream: str, fault: str) -> int:
-        """Applies ``silence`` or ``reset`` to the open connections to an upstream."""
-        url = f"http://{HOST}:{self.proxy_control_ports[upstream]}/control/{fault}"
-        return int(next(iter(json.loads(call(url, "POST")[2]).values())))
+    def silence_open_connections(self, upstream: str) -> int:
+        """Silences the open connections to an upstream; returns how many."""
+        opened = len(self._read_connections(upstream)["open"])
+        self._control_proxy(
+            upstream, "control", {"connections": "open", "silent": True}
+        )
+        return opened
+
+    def reset_open_connections(self, upstream: str) -> int:
+        """Resets the open connections to an upstream; returns how many."""
+        return int(self._control_proxy(upstream, "reset", {})["connections"])
 
     def count_connections(self, upstream: str) -> int:
         """Returns how many connections the proxy of an upstream has accepted."""
+        return int(self._read_connections(upstream)["accepted"])
+
+    def _read_connections(self, upstream: str) -> Any:
         port = self.proxy_control_ports[upstream]
-        body = call(f"http://{HOST}:{port}/control/connections")[2]
-        return int(json.loads(body)["accepted"])
+        return json.loads(call(f"http://{HOST}:{port}/connections")[2])
+
+    def _control_proxy(self, upstream: str, path: str, body: dict[str, Any]) -> Any:
+        url = f"http://{HOST}:{self.proxy_control_ports[upstream]}/{path}"
+        status, _, answer = call(url, "POST", body)
+        if status != 200:
+            raise ValueError(f"{url} answered {status}: {answer!r}")
+        return json.loads(answer)
 
     def read_ledger(self, upstream: str) -> dict[str, Any]:
         """Returns what ran on an upstream."""
@@ -256,7 +271,7 @@
                 url = f"http://{HOST}:{ports.agent_admin}/ready"
                 self.wait_until(lambda url=url: self._answers(url))
         for port in self.proxy_control_ports.values():
-            url = f"http://{HOST}:{port}/control/connections"
+            url = f"http://{HOST}:{port}/connections"
             self.wait_until(lambda url=url: self._answers(url))
         for port in self.upstream_ports.values():
             url = f"http://{HOST}:{port}/control/ledger"
