--- a/tests/integration/entry/test_http_behaviour.py
+++ b/tests/integration/entry/test_http_behaviour.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gzip
 import http.client
 import json
 import socket
@@ -217,6 +218,20 @@
     assert path.find_runs("chunks")[0]["received_bytes"] == 20 * 0x4000
 
 
+def test_encoded_bodies_pass_unchanged(path):
+    """Guards against an entry that decodes a body and leaves its headers."""
+    path.set_behaviour(answer_headers={"Content-Encoding": "gzip"})
+    body = gzip.compress(b"z" * 5_000)
+    request = build_request(
+        "/work/zip", "POST", body, Content_Encoding="gzip", X_Work_Id="zip"
+    )
+    with RawCaller(path.get_port()) as caller:
+        caller.send(request)
+        status, headers, answered = caller.read_answer()
+    assert (status, headers["Content-Encoding"], len(answered)) == (200, "gzip", 200)
+    assert path.find_runs("zip")[0]["received_bytes"] == 5_000
+
+
 def test_deadline_is_carried_reduced_and_kept(path):
     """Guards against upstreams that work past the time the caller waits."""
     started = time.monotonic()
--- /dev/null
+++ b/tests/integration/entry/test_whole_answers.py
@@ -0,0 +1,134 @@
+"""A caller gets its own whole answer or one that is plainly broken."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import http.client
+import json
+import time
+import uuid
+
+import pytest
+
+from .conftest import get_execution
+from .raw_caller import RawCaller, build_request, wait_for
+
+pytestmark = pytest.mark.xdist_group("whole")
+
+BROKEN_HEADS = {
+    "crossed answer": ({"crossed": True}, {}),
+    "small body cut short": ({"cut_body": True}, {}),
+    "body that ends with the connection": ({"close_delimited": True}, {}),
+    "two kinds of length": (
+        {"answer_headers": {"Transfer-Encoding": "chunked", "Content-Length": "5"}},
+        {"X_Chunked": 1},
+    ),
+}
+BROKEN_STREAMS = {
+    "length known": ({"cut_after_bytes": 400_000}, {}, {}),
+    "length known, reset": (
+        {"cut_after_bytes": 400_000, "cut_with": "reset"},
+        {},
+        {},
+    ),
+    "chunked, cut on the way": ({"cut_after_bytes": 400_000}, {}, {"X_Chunked": 1}),
+    "chunked, cut by the upstream": ({}, {"cut_stream": True}, {"X_Chunked": 1}),
+    "chunked, silence": ({}, {}, {"X_Chunked": 1, "X_Chunk_Ms": 60}),
+}
+
+
+@pytest.mark.parametrize("name", BROKEN_HEADS)
+def test_unusable_answer_is_not_passed_on(path, name):
+    """Guards against foreign or short answers and reuse of their connections."""
+    behaviour, headers = BROKEN_HEADS[name]
+    path.set_behaviour(**behaviour)
+    with RawCaller(path.get_port()) as caller:
+        caller.send(build_request("/work/once", "POST", **headers))
+        answer = caller.read_answer()
+        assert (answer[0], get_execution(answer)) == (502, "unknown")
+        path.reset()
+        for _ in range(4):
+            work = uuid.uuid4().hex
+            caller.send(build_request("/work/own", X_Work_Id=work))
+            assert caller.read_answer()[2].startswith(work.encode())
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("name", BROKEN_STREAMS)
+def test_answer_cut_while_streaming_looks_broken(path, name, version):
+    """Guards against a short answer that looks whole, also to a keep-alive caller.
+
+    An HTTP/1.0 caller sees the end of the connection as the end of the body, so it
+    must see a reset.
+    """
+    faults, behaviour, headers = BROKEN_STREAMS[name]
+    path.set_proxy_faults(**faults)
+    path.set_behaviour(**behaviour)
+    request = build_request(
+        "/work/again/stream",
+        X_Answer_Bytes=1_000_000,
+        Request_Timeout_Ms=1_000,
+        **headers,
+    ).replace(b"HTTP/1.1", f"HTTP/{version}".encode())
+    with RawCaller(path.get_port()) as caller:
+        caller.send(request)
+        with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+            caller.read_answer()
+
+
+def test_late_answer_reaches_no_other_request(path):
+    """Guards against a connection that is reused after its request timed out."""
+    work = [uuid.uuid4().hex for _ in range(40)]
+
+    def send(number: int):
+        slow = number % 2 == 0
+        return path.call(
+            "/work/again",
+            X_Work_Id=work[number],
+            X_Work_Ms=160 if slow else 5,
+            Request_Timeout_Ms=100 if slow else 3_000,
+        )
+
+    with concurrent.futures.ThreadPoolExecutor(6) as pool:
+        answers = list(pool.map(send, range(len(work))))
+    for number, answer in enumerate(answers):
+        if number % 2:
+            assert answer[0] == 200
+            assert answer[2].startswith(work[number].encode())
+        else:
+            assert answer[0] == 504
+
+
+def test_each_attempt_has_an_id_of_its_own(path):
+    """Guards the check of echoed ids, which needs ids that differ for each attempt."""
+    path.fill_budget(20)
+    first, second = path.upstreams
+    path.fleet.set_behaviour(first, break_after_work=1.0)
+    runs: list[dict] = []
+    while len(runs) < 2:
+        work = uuid.uuid4().hex
+        answer = path.call("/work/again", X_Work_Id=work, X_Request_Id="mine")
+        assert (answer[0], answer[1]["X-Request-Id"]) == (200, "mine")
+        runs = path.find_runs(work)
+    ids = {run["id"] for run in runs}
+    assert len(ids) == len(runs)
+    assert all(identifier.startswith("mine.") for identifier in ids)
+    assert sorted(run["attempt"] for run in runs) == ["1", "2"]
+
+
+def test_failed_attempt_is_logged_with_what_operators_search_for(path):
+    """Guards the fields of the log lines of failures and refusals."""
+    path.set_behaviour(cut_body=True)
+    identifier = f"log-{time.monotonic_ns()}"
+    path.call("/work/once", "POST", X_Request_Id=identifier)
+    log = path.fleet.directory / "entry-1-entry.log"
+
+    def read_lines() -> list[dict]:
+        lines = [json.loads(line) for line in log.read_text().splitlines()]
+        return [line for line in lines if line.get("request_id") == identifier]
+
+    assert wait_for(lambda: len(read_lines()) == 2)
+    failure, refusal = read_lines()
+    assert failure["upstream"] in path.upstreams
+    assert failure["policy_revision"] > 0
+    assert failure["execution"] == refusal["execution"] == "unknown"
