--- /dev/null
+++ b/tests/integration/entry/test_shutdown.py
@@ -0,0 +1,158 @@
+"""Graceful shutdown of entries and of upstreams."""
+
+from __future__ import annotations
+
+import http.client
+import threading
+import time
+import uuid
+
+import pytest
+
+from standins.fleet import HOST, call
+
+from .raw_caller import RawCaller, build_request, wait_for
+
+pytestmark = pytest.mark.xdist_group("shutdown")
+
+LONG_WORK_MS = 1_500
+
+
+@pytest.fixture
+def leaving(path):
+    """An entry of its own that the test stops."""
+    name = f"entry-{uuid.uuid4().hex[:8]}"
+    path.add_entries(name)
+    yield name
+    process = path.fleet.processes.pop(f"{name}-entry")
+    if process.poll() is None:
+        process.kill()
+        process.wait()
+
+
+def is_ready(path, name) -> bool:
+    port = path.fleet.ports[name].entry_admin
+    try:
+        return call(f"http://{HOST}:{port}/ready")[0] == 200
+    except OSError:
+        return False
+
+
+def stop(path, name) -> None:
+    path.fleet.processes[f"{name}-entry"].terminate()
+
+
+def wait_for_exit(path, name, timeout_s: float) -> int:
+    return path.fleet.processes[f"{name}-entry"].wait(timeout_s)
+
+
+def test_requests_in_flight_end_and_keep_alive_callers_are_told(path, leaving):
+    """Guards against a shutdown that cuts work, a stream or an upload."""
+    size = 2_000_000
+    stream = build_request(
+        "/work/again/s", X_Answer_Bytes=size, X_Chunked=1, X_Chunk_Ms=8
+    )
+    work = build_request("/work/x", "POST", b"{}", X_Work_Ms=LONG_WORK_MS)
+    upload = build_request("/work/x", "POST", Content_Length=size)
+    port = path.get_port(leaving)
+    callers = [RawCaller(port) for _ in range(5)]
+    working, streaming, uploading, idle, later = callers
+    for caller in (idle, later):
+        caller.send(build_request("/work/x"))
+        assert caller.read_answer()[0] == 200
+    working.send(work)
+    streaming.send(stream)
+    uploading.send(upload + b"u" * 100_000)
+    time.sleep(0.1)
+    stop(path, leaving)
+    assert wait_for(lambda: not is_ready(path, leaving), 0.5)
+    # Within the notice time new connections are still served.
+    with RawCaller(port) as caller:
+        caller.send(build_request("/work/x"))
+        status, headers, _ = caller.read_answer()
+    assert (status, headers["Connection"]) == (200, "close")
+    later.send(build_request("/work/x"))
+    status, headers, _ = later.read_answer()
+    assert (status, headers["Connection"]) == (200, "close")
+    time.sleep(0.4)
+    with pytest.raises(ConnectionRefusedError):
+        RawCaller(port)
+    uploading.send(b"u" * (size - 100_000))
+    answers = [caller.read_answer() for caller in (working, streaming, uploading)]
+    assert [answer[0] for answer in answers] == [200] * 3
+    assert len(answers[1][2]) == size
+    assert answers[0][1]["Connection"] == answers[2][1]["Connection"] == "close"
+    assert wait_for_exit(path, leaving, 3.0) == 0
+    assert idle.is_closed()
+    for caller in callers:
+        caller.socket.close()
+
+
+def test_work_longer_than_the_drain_time_is_cut_visibly(path, leaving):
+    """Guards the bound on a shutdown, and that a cut answer looks broken."""
+    with RawCaller(path.get_port(leaving)) as caller:
+        caller.send(
+            build_request(
+                "/work/again/s",
+                X_Answer_Bytes=4_000_000,
+                X_Chunked=1,
+                X_Chunk_Ms=60,
+                Request_Timeout_Ms=60_000,
+            )
+        )
+        time.sleep(0.1)
+        started = time.monotonic()
+        stop(path, leaving)
+        with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+            caller.read_answer()
+        assert wait_for_exit(path, leaving, 3.0) == 0
+        assert 3.0 < time.monotonic() - started < 5.5
+
+
+def send_in_loop(port, service, results, stopped) -> None:
+    """Sends requests on a keep-alive connection; keeps what the caller sees."""
+    connection = http.client.HTTPConnection(HOST, port, timeout=5)
+    while not stopped.is_set():
+        work = uuid.uuid4().hex
+        headers = {"X-Work-Id": work, "X-Work-Ms": "4"}
+        try:
+            connection.request("GET", f"/{service}/x", headers=headers)
+            answer = connection.getresponse()
+            body = answer.read()
+            results.append(answer.status if body.startswith(work.encode()) else 0)
+        except (http.client.HTTPException, OSError) as error:
+            results.append(repr(error))
+            connection.close()
+            return
+
+
+@pytest.mark.parametrize("announced", [True, False])
+def test_graceful_shutdown_of_an_upstream_costs_no_answer(path, announced):
+    """Guards against requests that meet an upstream as it closes its connections."""
+    service = "announced" if announced else "sudden"
+    name = path.fleet.add_upstream(service, 0, slots=64)
+    for index in (1, 2):
+        path.fleet.add_upstream(service, index, slots=64)
+    # Ejection is not the subject here, so every failed attempt may be repeated.
+    path.fleet.write_policy(service, 1, retries={"budget_ratio": 1.0})
+    path.fleet.publish_instances()
+    path.fleet.wait_ready()
+    assert wait_for(lambda: path.call(f"/{service}/x")[0] == 200, 10.0)
+    results: list = []
+    stopped = threading.Event()
+    arguments = (path.get_port(), service, results, stopped)
+    threads = [threading.Thread(target=send_in_loop, args=arguments) for _ in range(6)]
+    for thread in threads:
+        thread.start()
+    assert wait_for(lambda: path.fleet.read_ledger(name)["ran"], 5.0)
+    if announced:
+        path.fleet.set_instance_state(name, "leaving")
+        time.sleep(1.5)
+    path.fleet.terminate(name)
+    time.sleep(0.5)
+    stopped.set()
+    for thread in threads:
+        thread.join()
+    del path.fleet.upstream_ports[name]
+    assert len(results) > 50
+    assert set(results) == {200}
