--- a/measure/bench.py
+++ b/measure/bench.py
@@ -162,7 +162,7 @@
         service = next(iter(self._servers))
         entry = self._fleet.get_entry_url("entry-0")
         direct = self._fleet.get_upstream_url(self._servers[service][0])
-        command = [sys.executable, "-m", "measure.added_latency", entry, direct]
+        command = [sys.executable, "-m", "measure.paired_calls", entry, direct]
         output = subprocess.run(
             [*command, service, str(calls)], capture_output=True, check=True
         )
--- a/src/verbenacross/entry/entry.py
+++ b/src/verbenacross/entry/entry.py
@@ -31,7 +31,7 @@
 from ..upstreams import ObservationReporter, ObservationTable, UpstreamDirectory
 from ..upstreams.replacement_watch import ReplacementWatch
 from .agent_link import AgentLink
-from .caller_protocol import CallerServer
+from .caller_server import CallerServer
 from .drain import Drain
 from .forwarder import Forwarder
 from .headers import CALLER_HEADER, SERVICE_HEADER
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -20,6 +20,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import socket
 import struct
 from typing import Any, Literal
@@ -125,7 +126,8 @@
         """Breaks both connections with a TCP reset."""
         for _, writer in (self.client, self.target):
             connection = writer.get_extra_info("socket")
-            if connection is not None:
+            # The socket of a connection that ends at this moment is closed already.
+            with contextlib.suppress(OSError, AttributeError):
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
             writer.transport.abort()
 
