Free the name platform for the adapter of the users' platform

Cause: src/verbenacross/platform held the product's own interfaces to its surroundings, while the adapter of the users' platform needs one folder of that name. Change: moved to src/verbenacross/infrastructure; HTTP parts that a second program can use moved from entry/ to transport/, whose errors form their own tree; infrastructure/__init__ imports nothing, so that a small process need not load the settings' validator.

--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -36,7 +36,7 @@
 import json, sys
 from verbenacross.policy import PolicyRecord, PolicyTable
 from verbenacross.policy.policy_record import build_key
-from verbenacross.platform.instance_list import Instance
+from verbenacross.infrastructure.instance_list import Instance
 from verbenacross.settings import Address
 from verbenacross.upstreams import UpstreamDirectory
 import verbenacross.agent
--- a/measure/choosers.py
+++ b/measure/choosers.py
@@ -15,8 +15,8 @@
 import random
 from typing import TYPE_CHECKING, NamedTuple
 
-from verbenacross.platform.instance_list import Instance
-from verbenacross.platform.upstream_signals import LoadReport
+from verbenacross.infrastructure.instance_list import Instance
+from verbenacross.infrastructure.upstream_signals import LoadReport
 from verbenacross.policy import Policy
 from verbenacross.policy.policy import RequestClass, RoutingOptions, UpstreamOptions
 from verbenacross.routing import AttemptOutcome, RequestContext, ServiceRouter
--- a/measure/knowledge.py
+++ b/measure/knowledge.py
@@ -21,8 +21,8 @@
 from standins.fleet import HOST, Fleet, call
 from verbenacross.agent.observation_spreader import SPREAD_KINDS
 from verbenacross.entry.agent_link import AgentLink
+from verbenacross.infrastructure.instance_list import Instance
 from verbenacross.limits import PermitClient
-from verbenacross.platform import Instance
 from verbenacross.policy import Policy, PolicyTable
 from verbenacross.policy.policy import RequestClass
 from verbenacross.protocol import decode_message, encode_message
--- a/measure/load_generator.py
+++ b/measure/load_generator.py
@@ -15,7 +15,7 @@
 
 import aiohttp
 
-from verbenacross.platform.upstream_signals import read_load
+from verbenacross.infrastructure.upstream_signals import read_load
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/verbenacross/agent/agent.py
+++ b/src/verbenacross/agent/agent.py
@@ -11,10 +11,11 @@
 from aioprometheus import Registry
 from websockets.asyncio.server import ServerConnection, serve
 
+from ..infrastructure.http_instance_list import HttpInstanceList
+from ..infrastructure.http_key_value_store import HttpKeyValueStore
+from ..infrastructure.instance_list import AGENT_SERVICE
 from ..observability import AdminServer
 from ..peers import AgentNetwork
-from ..platform import HttpInstanceList, HttpKeyValueStore
-from ..platform.instance_list import AGENT_SERVICE
 from ..policy import PolicyTable, TableProgress
 from ..protocol.codec import MAX_MESSAGE_BYTES
 from ..upstreams import UpstreamDirectory
@@ -25,7 +26,8 @@
 from .upstream_knowledge import UpstreamKnowledge
 
 if TYPE_CHECKING:
-    from ..platform import InstanceList, KeyValueStore
+    from ..infrastructure.instance_list import InstanceList
+    from ..infrastructure.key_value_store import KeyValueStore
     from ..protocol.messages import Message
     from ..settings import AgentSettings
 
--- a/src/verbenacross/agent/directory_sync.py
+++ b/src/verbenacross/agent/directory_sync.py
@@ -10,7 +10,7 @@
 import logbook
 from reactivex.subject import Subject
 
-from ..platform.exceptions import InstanceListError
+from ..infrastructure.exceptions import InstanceListError
 from ..protocol.messages import MAX_IDENTIFIER_CHARACTERS, DirectoryUpdates
 from ..upstreams.directory_replica import (
     MAX_PART_ENTRIES,
@@ -23,8 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from ..infrastructure.instance_list import Instance, InstanceList
     from ..peers import PeerMessage, PeerNetwork
-    from ..platform import Instance, InstanceList
     from ..protocol.messages import DirectoryEntry
     from ..settings import AgentSettings
     from ..upstreams.directory_replica import DirectoryReplica
--- a/src/verbenacross/agent/list_reader.py
+++ b/src/verbenacross/agent/list_reader.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ..platform.instance_list import Instance
+    from ..infrastructure.instance_list import Instance
     from ..upstreams.directory_replica import DirectoryReplica
 
 MAX_HOLD_DOUBLINGS = 6
--- a/src/verbenacross/agent/permit_relay.py
+++ b/src/verbenacross/agent/permit_relay.py
@@ -6,7 +6,7 @@
 import time
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from ..platform.instance_list import AGENT_SERVICE
+from ..infrastructure.instance_list import AGENT_SERVICE
 from ..protocol.messages import (
     PermitGrant,
     PermitRelease,
--- a/src/verbenacross/agent/prober.py
+++ b/src/verbenacross/agent/prober.py
@@ -12,15 +12,15 @@
 from aioprometheus import Counter, Gauge
 
 from ..exceptions import VerbenacrossError
-from ..platform.probe_answers import read_health, read_load_answer
-from ..platform.upstream_signals import read_state
+from ..infrastructure.probe_answers import read_health, read_load_answer
+from ..infrastructure.upstream_signals import read_state
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from aioprometheus import Registry
 
-    from ..platform import Instance
+    from ..infrastructure.instance_list import Instance
     from ..upstreams import UpstreamDirectory
     from ..upstreams.observation_reporter import ObservationReporter
     from .service_policies import ServicePolicies
--- a/src/verbenacross/agent/reader_role.py
+++ b/src/verbenacross/agent/reader_role.py
@@ -14,8 +14,8 @@
 from .store_reader import StoreReader
 
 if TYPE_CHECKING:
+    from ..infrastructure.key_value_store import KeyValueStore
     from ..peers import AgentNetwork
-    from ..platform import KeyValueStore
     from ..policy import TableProgress
     from ..settings import AgentSettings
 
--- a/src/verbenacross/agent/shard_ownership.py
+++ b/src/verbenacross/agent/shard_ownership.py
@@ -12,8 +12,8 @@
 import logbook
 from reactivex.subject import Subject
 
-from ..platform.exceptions import LeaseLostError, StoreConflictError, StoreError
-from ..platform.key_value_store import ABSENT_REVISION
+from ..infrastructure.exceptions import LeaseLostError, StoreConflictError, StoreError
+from ..infrastructure.key_value_store import ABSENT_REVISION
 from ..upstreams.directory_replica import hash_bytes
 from .rendezvous import find_first
 from .shard_order import ShardOrder, build_topic
@@ -21,9 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from ..infrastructure.key_value_store import KeyValueStore, StoredValue
     from ..peers import PeerNetwork
-    from ..platform import KeyValueStore
-    from ..platform.key_value_store import StoredValue
 
 SHARD_PREFIX = "shards/"
 LEASE_TTL_MS = 10_000
--- a/src/verbenacross/agent/store_reader.py
+++ b/src/verbenacross/agent/store_reader.py
@@ -9,7 +9,7 @@
 
 import logbook
 
-from ..platform.exceptions import StoreError, StoreUnavailableError
+from ..infrastructure.exceptions import StoreError, StoreUnavailableError
 from ..policy.policy_record import POLICY_PREFIX, PolicyRecord, is_key
 from ..settings import Finding
 from .valid_copies import VALID_PREFIX, ValidCopies
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..platform import KeyValueStore, StoreSnapshot
+    from ..infrastructure.key_value_store import KeyValueStore, StoreSnapshot
     from ..policy import TableProgress
 
 WATCH_WAIT_S = 1.0
--- a/src/verbenacross/agent/upstream_knowledge.py
+++ b/src/verbenacross/agent/upstream_knowledge.py
@@ -29,8 +29,9 @@
 
     from aioprometheus import Registry
 
+    from ..infrastructure.instance_list import InstanceList
+    from ..infrastructure.key_value_store import KeyValueStore
     from ..peers import PeerMessage, PeerNetwork
-    from ..platform import InstanceList, KeyValueStore
     from ..policy import PolicyTable
     from ..protocol.messages import Message
     from ..settings import AgentSettings
--- a/src/verbenacross/agent/valid_copies.py
+++ b/src/verbenacross/agent/valid_copies.py
@@ -7,12 +7,16 @@
 
 import logbook
 
-from ..platform.exceptions import StoreConflictError, StoreUnavailableError
-from ..platform.key_value_store import ABSENT_REVISION, MAX_VALUE_BYTES
+from ..infrastructure.exceptions import StoreConflictError, StoreUnavailableError
+from ..infrastructure.key_value_store import ABSENT_REVISION, MAX_VALUE_BYTES
 from ..policy.policy_record import POLICY_PREFIX, PolicyRecord
 
 if TYPE_CHECKING:
-    from ..platform import KeyValueStore, StoredValue, StoreSnapshot
+    from ..infrastructure.key_value_store import (
+        KeyValueStore,
+        StoredValue,
+        StoreSnapshot,
+    )
     from ..policy import PolicyTable
 
 VALID_PREFIX = "valid/"
--- a/src/verbenacross/console/record_writer.py
+++ b/src/verbenacross/console/record_writer.py
@@ -7,12 +7,16 @@
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
-from ..platform import StoreConflictError, StoreError, StoreUnavailableError
-from ..platform.key_value_store import ABSENT_REVISION
+from ..infrastructure.exceptions import (
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+from ..infrastructure.key_value_store import ABSENT_REVISION
 from .exceptions import OutcomeUnknownError, WriteRefusedError
 
 if TYPE_CHECKING:
-    from ..platform import KeyValueStore, StoreSnapshot
+    from ..infrastructure.key_value_store import KeyValueStore, StoreSnapshot
 
 MIN_RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 0.5
--- a/src/verbenacross/console/store_session.py
+++ b/src/verbenacross/console/store_session.py
@@ -7,8 +7,8 @@
 
 import aiohttp
 
-from ..platform import HttpKeyValueStore, StoreUnavailableError
-from ..platform.exceptions import StoreError
+from ..infrastructure.exceptions import StoreError, StoreUnavailableError
+from ..infrastructure.http_key_value_store import HttpKeyValueStore
 from ..settings import ClientSettings, SettingsError, load_settings
 from .command_result import CommandResult
 from .exceptions import CommandError
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from ..platform import KeyValueStore
+    from ..infrastructure.key_value_store import KeyValueStore
     from ..settings import Finding
 
 
--- a/src/verbenacross/console/stored_policy.py
+++ b/src/verbenacross/console/stored_policy.py
@@ -10,7 +10,7 @@
 from ..policy.policy_record import POLICY_PREFIX
 
 if TYPE_CHECKING:
-    from ..platform import KeyValueStore
+    from ..infrastructure.key_value_store import KeyValueStore
     from ..settings import Finding
     from .record_writer import CurrentRecord
 
--- a/src/verbenacross/console/write_command.py
+++ b/src/verbenacross/console/write_command.py
@@ -65,7 +65,7 @@
         self, writer: RecordWriter, body: bytes, current: CurrentRecord
     ) -> int:
         """Writes the record; raises ``CommandError`` unless the store accepted it."""
-        from ..platform import StoreConflictError
+        from ..infrastructure.exceptions import StoreConflictError
 
         key = current.key
         try:
--- a/src/verbenacross/entry/answer.py
+++ b/src/verbenacross/entry/answer.py
@@ -8,10 +8,10 @@
 
 from aiohttp import hdrs, web
 
-from ..platform.upstream_signals import EXECUTION_HEADER
+from ..infrastructure.upstream_signals import EXECUTION_HEADER
 from ..refusals import Execution
-from .exceptions import UnusableAnswerError
-from .headers import REQUEST_ID_HEADER, append_via, copy_end_to_end
+from ..transport.exceptions import UnusableAnswerError
+from ..transport.headers import REQUEST_ID_HEADER, append_via, copy_end_to_end
 
 if TYPE_CHECKING:
     import aiohttp
--- a/src/verbenacross/entry/entry.py
+++ b/src/verbenacross/entry/entry.py
@@ -14,10 +14,10 @@
 from aiohttp import web
 from aioprometheus import Counter, Registry
 
+from ..infrastructure.http_key_value_store import HttpKeyValueStore
+from ..infrastructure.instance_list import AGENT_SERVICE
 from ..limits import PermitClient, ServiceGate
 from ..observability import AdminServer
-from ..platform import HttpKeyValueStore
-from ..platform.instance_list import AGENT_SERVICE
 from ..policy import PolicyTable
 from ..policy.policy_selector import (
     PolicySelector,
@@ -28,13 +28,14 @@
 )
 from ..refusals import RefusedError, refuse_not_run
 from ..routing import ServiceRouter
+from ..transport.caller_server import CallerServer
+from ..transport.headers import CALLER_HEADER, SERVICE_HEADER
+from ..transport.upstream_client import UpstreamClient
 from ..upstreams import ObservationReporter, ObservationTable, UpstreamDirectory
 from ..upstreams.replacement_watch import ReplacementWatch
 from .agent_link import AgentLink
-from .caller_server import CallerServer
 from .drain import Drain
 from .forwarder import Forwarder
-from .headers import CALLER_HEADER, SERVICE_HEADER
 from .idempotency_keys import IdempotencyKeys
 from .request_reader import (
     build_context,
@@ -43,7 +44,6 @@
     read_service,
     read_version,
 )
-from .upstream_client import UpstreamClient
 
 if TYPE_CHECKING:
     from ..protocol.messages import DirectoryUpdates
--- a/src/verbenacross/entry/exchange.py
+++ b/src/verbenacross/entry/exchange.py
@@ -12,9 +12,20 @@
 from aiohttp import web
 from yarl import URL
 
-from ..platform.upstream_signals import read_load, read_state
+from ..infrastructure.upstream_signals import read_load, read_state
 from ..refusals import Execution, Refusal, RefusedError
 from ..routing import AttemptOutcome
+from ..transport.attempt_guard import AttemptGuard
+from ..transport.exceptions import CallerBodyError, UnusableAnswerError
+from ..transport.headers import (
+    ATTEMPT_HEADER,
+    REQUEST_ID_HEADER,
+    TIMEOUT_HEADER,
+    append_forwarding,
+    append_via,
+    copy_end_to_end,
+)
+from ..transport.request_body import RequestBody
 from .answer import (
     abort_caller,
     build_headers,
@@ -24,25 +35,14 @@
     read_execution,
     stream,
 )
-from .attempt_guard import AttemptGuard
-from .exceptions import CallerBodyError, UnusableAnswerError
-from .headers import (
-    ATTEMPT_HEADER,
-    REQUEST_ID_HEADER,
-    TIMEOUT_HEADER,
-    append_forwarding,
-    append_via,
-    copy_end_to_end,
-)
-from .request_body import RequestBody
 
 if TYPE_CHECKING:
     from multidict import CIMultiDict
 
     from ..limits import RetryBudget, ServiceGate
     from ..routing import RequestContext, UpstreamState
+    from ..transport.upstream_client import UpstreamClient
     from .drain import Drain
-    from .upstream_client import UpstreamClient
 
 MS_PER_S = 1_000
 HTTP_SERVER_ERROR = 500
--- a/src/verbenacross/entry/forwarder.py
+++ b/src/verbenacross/entry/forwarder.py
@@ -6,17 +6,17 @@
 
 from ..limits import RetryBudget
 from ..refusals import Execution
+from ..transport.headers import IDEMPOTENCY_HEADER
 from .exchange import Exchange
-from .headers import IDEMPOTENCY_HEADER
 
 if TYPE_CHECKING:
     from aiohttp import web
 
     from ..limits import ServiceGate
     from ..routing import RequestContext
+    from ..transport.upstream_client import UpstreamClient
     from .drain import Drain
     from .idempotency_keys import IdempotencyKeys
-    from .upstream_client import UpstreamClient
 
 
 class Forwarder:
--- a/src/verbenacross/entry/idempotency_keys.py
+++ b/src/verbenacross/entry/idempotency_keys.py
@@ -13,9 +13,13 @@
 import logbook
 from pydantic import TypeAdapter, ValidationError
 
+from ..infrastructure.exceptions import (
+    LeaseLostError,
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
 from ..limits import RateLimit
-from ..platform import StoreConflictError, StoreError, StoreUnavailableError
-from ..platform.exceptions import LeaseLostError
 from ..refusals import Execution, Refusal, RefusedError, refuse_not_run
 from .key_claim import KeyClaim
 from .key_leases import KeyLeases
@@ -24,7 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Coroutine, Sequence
 
-    from ..platform import KeyValueStore
+    from ..infrastructure.key_value_store import KeyValueStore
 
 KEY_PREFIX = "once/"
 MAX_KEY_CHARACTERS = 255
--- a/src/verbenacross/entry/key_leases.py
+++ b/src/verbenacross/entry/key_leases.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from ..platform import KeyValueStore
+    from ..infrastructure.key_value_store import KeyValueStore
 
 MS_PER_S = 1_000
 MIN_WINDOW_S = 1.0
--- a/src/verbenacross/entry/request_reader.py
+++ b/src/verbenacross/entry/request_reader.py
@@ -11,7 +11,7 @@
 from ..policy.policy import RequestClass
 from ..refusals import refuse_not_run
 from ..routing import RequestContext
-from .headers import (
+from ..transport.headers import (
     ATTEMPT_HEADER,
     REQUEST_ID_HEADER,
     TIMEOUT_HEADER,
--- /dev/null
+++ b/src/verbenacross/infrastructure/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the surroundings: key-value store, instance list, upstream signals."""
--- a/src/verbenacross/protocol/messages.py
+++ b/src/verbenacross/protocol/messages.py
@@ -9,7 +9,7 @@
 
 from pydantic import Field
 
-from ..platform.instance_list import Instance
+from ..infrastructure.instance_list import Instance
 from ..policy.policy_record import PolicyRecord
 
 PROTOCOL_VERSION = 1
--- a/src/verbenacross/refusals/refusal.py
+++ b/src/verbenacross/refusals/refusal.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from ..platform.upstream_signals import EXECUTION_HEADER
+from ..infrastructure.upstream_signals import EXECUTION_HEADER
 from .exceptions import RefusedError
 
 PROBLEM_TYPE_PREFIX = "urn:verbenacross:problem:"
--- a/src/verbenacross/routing/attempt_outcome.py
+++ b/src/verbenacross/routing/attempt_outcome.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from ..platform.upstream_signals import LoadReport, UpstreamState
+    from ..infrastructure.upstream_signals import LoadReport, UpstreamState
 
 
 class AttemptOutcome(NamedTuple):
--- a/src/verbenacross/routing/service_router.py
+++ b/src/verbenacross/routing/service_router.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
 
-    from ..platform.instance_list import Instance
+    from ..infrastructure.instance_list import Instance
     from ..policy.policy import Policy
     from .attempt_outcome import AttemptOutcome
     from .request_context import RequestContext
--- a/src/verbenacross/routing/upstream_state.py
+++ b/src/verbenacross/routing/upstream_state.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from ..platform.instance_list import Instance
+    from ..infrastructure.instance_list import Instance
 
 
 class AttemptStart(NamedTuple):
--- /dev/null
+++ b/src/verbenacross/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP connections to callers and upstreams, by aiohttp."""
--- a/src/verbenacross/entry/exceptions.py
+++ b/src/verbenacross/transport/exceptions.py
@@ -1,4 +1,4 @@
-"""Errors of the entry process."""
+"""Errors of connections to callers and upstreams."""
 
 from __future__ import annotations
 
@@ -7,17 +7,17 @@
 from ..exceptions import VerbenacrossError
 
 
-class EntryError(VerbenacrossError):
-    """Base of the errors of the entry process."""
+class TransportError(VerbenacrossError):
+    """Base of the errors of connections."""
 
 
-class ConnectionBrokenError(EntryError, aiohttp.ClientError):
+class ConnectionBrokenError(TransportError, aiohttp.ClientError):
     """A connection to an upstream broke after it was given to a request."""
 
 
-class UnusableAnswerError(EntryError):
+class UnusableAnswerError(TransportError):
     """An upstream's answer must not reach the caller; its connection is closed."""
 
 
-class CallerBodyError(EntryError):
+class CallerBodyError(TransportError):
     """The caller's request body is malformed or ended early."""
--- a/src/verbenacross/upstreams/directory_replica.py
+++ b/src/verbenacross/upstreams/directory_replica.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable, Iterator
 
-    from ..platform.instance_list import Instance
+    from ..infrastructure.instance_list import Instance
     from .upstream_directory import UpstreamDirectory
 
 BUCKETS = 256
--- a/src/verbenacross/upstreams/observation_reporter.py
+++ b/src/verbenacross/upstreams/observation_reporter.py
@@ -8,7 +8,7 @@
 from .observation_table import DRAINING_LIFETIME_MS, MAX_LIFETIMES_MS
 
 if TYPE_CHECKING:
-    from ..platform.upstream_signals import UpstreamState
+    from ..infrastructure.upstream_signals import UpstreamState
     from ..protocol.messages import ObservationKind
     from .observation_table import ObservationTable
 
--- a/src/verbenacross/upstreams/replacement_watch.py
+++ b/src/verbenacross/upstreams/replacement_watch.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..platform import Instance
+    from ..infrastructure.instance_list import Instance
     from ..protocol.messages import DirectoryUpdates
     from .observation_table import ObservationTable
     from .upstream_directory import UpstreamDirectory
--- a/src/verbenacross/upstreams/upstream_directory.py
+++ b/src/verbenacross/upstreams/upstream_directory.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from ..platform.instance_list import Instance
+    from ..infrastructure.instance_list import Instance
 
 # 256 KB of instances with identifiers of the greatest length stay below the message
 # limit of 2 MB.
--- a/tests/agent/test_directory_sync.py
+++ b/tests/agent/test_directory_sync.py
@@ -9,7 +9,7 @@
 from verbenacross.agent.directory_sync import DirectorySync
 from verbenacross.agent.list_reader import ListReader
 from verbenacross.agent.peer_sender import PeerSender
-from verbenacross.platform import Instance
+from verbenacross.infrastructure.instance_list import Instance
 from verbenacross.protocol.codec import MAX_MESSAGE_BYTES
 from verbenacross.settings import Address, AgentSettings
 from verbenacross.upstreams import UpstreamDirectory
--- a/tests/agent/test_permit_relay.py
+++ b/tests/agent/test_permit_relay.py
@@ -9,8 +9,7 @@
 from verbenacross.agent.permit_relay import PermitRelay
 from verbenacross.agent.service_policies import ServicePolicies
 from verbenacross.agent.shard_ownership import ShardOwnership
-from verbenacross.platform import Instance
-from verbenacross.platform.instance_list import AGENT_SERVICE
+from verbenacross.infrastructure.instance_list import AGENT_SERVICE, Instance
 from verbenacross.policy import PolicyTable
 from verbenacross.protocol.messages import PermitReport, PermitRequest
 from verbenacross.settings import Address
--- a/tests/agent/test_prober.py
+++ b/tests/agent/test_prober.py
@@ -9,7 +9,7 @@
 
 from verbenacross.agent.prober import Prober
 from verbenacross.agent.service_policies import ServicePolicies
-from verbenacross.platform import Instance
+from verbenacross.infrastructure.instance_list import Instance
 from verbenacross.policy import PolicyRecord, PolicyTable
 from verbenacross.settings import Address
 from verbenacross.upstreams import (
--- a/tests/agent/test_store_reader.py
+++ b/tests/agent/test_store_reader.py
@@ -12,13 +12,12 @@
 )
 
 from verbenacross.agent.store_reader import MAX_BACKOFF_S, StoreReader, draw_backoff_s
-from verbenacross.platform import (
+from verbenacross.infrastructure.exceptions import (
     StoreConflictError,
-    StoredValue,
     StoreError,
-    StoreSnapshot,
     StoreUnavailableError,
 )
+from verbenacross.infrastructure.key_value_store import StoredValue, StoreSnapshot
 from verbenacross.policy import PolicyTable, TableProgress
 
 KEYS = [f"policies/cuepublish/{version}" for version in (1, 2)]
--- a/tests/console/test_record_writer.py
+++ b/tests/console/test_record_writer.py
@@ -11,13 +11,12 @@
 from verbenacross.console import record_writer
 from verbenacross.console.exceptions import OutcomeUnknownError, WriteRefusedError
 from verbenacross.console.record_writer import RecordWriter
-from verbenacross.platform import (
+from verbenacross.infrastructure.exceptions import (
     StoreConflictError,
-    StoredValue,
     StoreError,
-    StoreSnapshot,
     StoreUnavailableError,
 )
+from verbenacross.infrastructure.key_value_store import StoredValue, StoreSnapshot
 
 KEY = "policies/a/1"
 FAULTS = st.lists(
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -5,13 +5,12 @@
 import itertools
 
 from tests.fake_clock import FakeClock
-from verbenacross.platform import (
+from verbenacross.infrastructure.exceptions import (
+    LeaseLostError,
     StoreConflictError,
-    StoredValue,
-    StoreSnapshot,
     StoreUnavailableError,
 )
-from verbenacross.platform.exceptions import LeaseLostError
+from verbenacross.infrastructure.key_value_store import StoredValue, StoreSnapshot
 
 
 class FakeStore:
--- a/tests/platform/test_http_instance_list.py
+++ b/tests/infrastructure/test_http_instance_list.py
@@ -2,7 +2,7 @@
 from aiohttp.test_utils import TestServer
 
 from standins.platform import PlatformStandIn
-from verbenacross.platform import HttpInstanceList
+from verbenacross.infrastructure.http_instance_list import HttpInstanceList
 
 LISTED = {"id": "x", "service": "web", "address": "127.0.0.1:80", "failure_domain": "a"}
 
--- a/tests/routing/builders.py
+++ b/tests/routing/builders.py
@@ -2,8 +2,8 @@
 
 import random
 
+from verbenacross.infrastructure.instance_list import Instance
 from verbenacross.limits import PermitClient, ServiceGate
-from verbenacross.platform.instance_list import Instance
 from verbenacross.policy.policy import (
     LimitOptions,
     Policy,
--- a/tests/routing/test_service_router.py
+++ b/tests/routing/test_service_router.py
@@ -10,7 +10,7 @@
     build_router,
     run_request,
 )
-from verbenacross.platform.upstream_signals import LoadReport
+from verbenacross.infrastructure.upstream_signals import LoadReport
 from verbenacross.routing import AttemptOutcome, NoKnowledge
 
 
--- a/tests/routing/test_traces.py
+++ b/tests/routing/test_traces.py
@@ -10,7 +10,7 @@
 import pytest
 
 from tests.routing.builders import Clock, build_context, build_instance, build_policy
-from verbenacross.platform.upstream_signals import LoadReport
+from verbenacross.infrastructure.upstream_signals import LoadReport
 from verbenacross.routing import AttemptOutcome, ServiceRouter
 
 TRACES = pathlib.Path(__file__).parent.parent / "traces"
--- a/tests/upstreams/test_directory_replica.py
+++ b/tests/upstreams/test_directory_replica.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from tests.fake_clock import FakeClock
-from verbenacross.platform import Instance
+from verbenacross.infrastructure.instance_list import Instance
 from verbenacross.protocol import encode_message
 from verbenacross.protocol.messages import DirectoryEntry
 from verbenacross.settings import Address
--- a/tests/upstreams/test_observation_table.py
+++ b/tests/upstreams/test_observation_table.py
@@ -5,7 +5,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from tests.fake_clock import FakeClock
-from verbenacross.platform import Instance
+from verbenacross.infrastructure.instance_list import Instance
 from verbenacross.protocol.messages import Observation
 from verbenacross.settings import Address
 from verbenacross.upstreams import (
