--- a/src/verbenacross/agent/agent.py
+++ b/src/verbenacross/agent/agent.py
@@ -14,7 +14,7 @@
 from ..infrastructure.http_instance_list import HttpInstanceList
 from ..infrastructure.http_key_value_store import HttpKeyValueStore
 from ..infrastructure.instance_list import AGENT_SERVICE
-from ..observability import AdminServer
+from ..observability.admin_server import AdminServer
 from ..peers import AgentNetwork
 from ..policy import PolicyTable, TableProgress
 from ..protocol.codec import MAX_MESSAGE_BYTES
--- /dev/null
+++ b/src/verbenacross/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which upstream gets a request, who waits and who is refused."""
--- /dev/null
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -0,0 +1,456 @@
+"""Gives the requests of one service their upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+import logbook
+
+from .ejection import is_on_trial, note_failure, note_success
+from .exceptions import BalancingError, DeadlineUnreachableError, NoUpstreamError
+from .finish_estimate import Estimate, estimate_finish
+from .load_report import LoadReport
+from .outcome import Abandoned, Answered, Failed, NotRun, Unreachable
+from .token_bucket import TokenBucket
+from .upstream_view import UpstreamView
+from .work_estimator import WorkEstimator
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from .demand import Demand
+    from .outcome import Outcome
+    from .upstream import Upstream
+
+# How long a round of probes is waited for; a round trip takes about 5 ms.
+PROBE_WAIT_S = 0.010
+# Reports younger than this need no new probe, in seconds.
+FRESH_S = 0.008
+# Reports older than this say little of a machine whose load shifts many times a second.
+USABLE_S = 0.060
+# A report this old still tells which upstreams are worth a probe.
+HINT_S = 0.350
+# Oldest report that is used when probes are not to be had.
+STALE_S = 3.0
+PROBES_PER_ROUND = 4
+MAX_PROBES_PER_ROUND = 12
+PROBE_BURST_S = 1.0
+# Part of the probe budget that is used; the rest covers changes of membership.
+PROBE_SHARE = 0.85
+# Pause between two rounds while requests wait.
+ROUND_PAUSE_S = 0.008
+# Requests that may wait at an upstream for its next free slot, per slot.
+AHEAD_PER_SLOT = 0.35
+# How long a better upstream is looked for, as a share of the time to the target.
+SEARCH_SHARE = 0.12
+# A finish within this share of the time to the target is good enough.
+COMFORT_SHARE = 0.85
+# Share of upstreams below which suspect or ejected ones are used as well.
+MIN_USABLE_SHARE = 0.5
+# Longest advice to a refused caller and the least, in seconds.
+MAX_RETRY_AFTER_S = 1.0
+MIN_RETRY_AFTER_S = 0.05
+RATE_WINDOW_S = 1.0
+# First pause after an unanswered probe and the longest, in seconds.
+FIRST_SILENCE_S = 0.2
+LONGEST_SILENCE_S = 1.0
+
+logger = logbook.Logger("verbenacross.balancing")
+
+
+class ProbeAnswer(NamedTuple):
+    """What an upstream's health path said."""
+
+    report: LoadReport | None
+    is_well: bool
+
+
+class Prober(Protocol):
+    """Asks an upstream's health path."""
+
+    async def probe(self, upstream: Upstream) -> ProbeAnswer | None:
+        """Returns the answer; ``None`` without a usable one.
+
+        Raises ``LookupError`` when another upstream answers at the address.
+        """
+
+
+class Waiter(NamedTuple):
+    """A request that waits for an upstream."""
+
+    demand: Demand
+    granted: asyncio.Future[UpstreamView]
+
+
+class ServiceBalancer:
+    """Gives the requests of one service their upstreams.
+
+    A request waits in the instance while no upstream can take it in time, those first
+    that can still meet their target. Upstreams are probed right before a choice,
+    because a report is stale after a few milliseconds. Every upstream that ``acquire``
+    returns must be given back with ``release``.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        failure_domain: str,
+        prober: Prober,
+        generator: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self.service = service
+        self.views: dict[str, UpstreamView] = {}
+        self.work = WorkEstimator()
+        self.probes = TokenBucket(0.0, PROBE_BURST_S, clock())
+        self.probes_sent = 0
+        self.refused = 0
+        self._failure_domain = failure_domain
+        self._prober = prober
+        self._generator = generator
+        self._clock = clock
+        self._waiters: list[Waiter] = []
+        self._pump: asyncio.Task[None] | None = None
+        self._wake = asyncio.Event()
+        self._grants: deque[float] = deque()
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait."""
+        return len(self._waiters)
+
+    def set_upstream(self, upstream: Upstream) -> None:
+        """Takes an upstream's description."""
+        now = self._clock()
+        view = self.views.get(upstream.id)
+        if view is None or view.upstream.started_ms != upstream.started_ms:
+            self.views[upstream.id] = UpstreamView(upstream, now)
+        else:
+            view.take_upstream(upstream, now)
+
+    def remove_upstream(self, identifier: str) -> None:
+        """Forgets an upstream."""
+        self.views.pop(identifier, None)
+
+    def set_probe_rate(self, per_upstream: float, instances: int) -> None:
+        """Sets the budget: probes a second on each upstream by all instances."""
+        share = per_upstream * PROBE_SHARE / max(1, instances)
+        self.probes.rate = share * len(self.views)
+
+    async def acquire(self, demand: Demand) -> UpstreamView:
+        """Returns an upstream for an attempt; raises ``BalancingError``."""
+        self._check_upstreams(demand)
+        granted: asyncio.Future[UpstreamView]
+        granted = asyncio.get_running_loop().create_future()
+        waiter = Waiter(demand, granted)
+        self._waiters.append(waiter)
+        if self._pump is None or self._pump.done():
+            self._pump = asyncio.create_task(self._serve_waiters())
+        self._wake.set()
+        try:
+            return await granted
+        except asyncio.CancelledError:
+            self._withdraw(waiter)
+            raise
+
+    def release(self, view: UpstreamView, demand: Demand, outcome: Outcome) -> None:
+        """Gives an upstream back with what the attempt showed."""
+        now = self._clock()
+        view.in_flight -= 1
+        self._wake.set()
+        match outcome:
+            case Answered(latency_s, report):
+                slowness = view.report.slowness if view.report else 1.0
+                self.work.add(demand.kind, latency_s, slowness)
+                note_success(view, now)
+                if report is not None:
+                    view.take_report(report, now - latency_s, now)
+            case NotRun(report):
+                self._take_shed(view, report, now)
+            case Failed(reason):
+                self._take_failure(view, demand, reason, now)
+            case Unreachable(reason):
+                self._silence(view, now)
+                self._take_failure(view, demand, reason, now)
+            case Abandoned():
+                pass
+
+    def close(self) -> None:
+        """Ends the work in the background."""
+        if self._pump is not None:
+            self._pump.cancel()
+        for view in self.views.values():
+            if view.probe is not None:
+                view.probe.cancel()
+
+    def _take_shed(
+        self, view: UpstreamView, report: LoadReport | None, now: float
+    ) -> None:
+        claimed = report or view.report
+        if claimed is not None and claimed.running < claimed.slots:
+            # It sheds while it claims to have room.
+            note_failure(view, now)
+        if report is not None:
+            view.take_report(report, now, now)
+
+    def _take_failure(
+        self, view: UpstreamView, demand: Demand, reason: str, now: float
+    ) -> None:
+        if note_failure(view, now):
+            logger.info(
+                "upstream ejected",
+                extra={
+                    "upstream": view.upstream.id,
+                    "service": self.service,
+                    "request_id": demand.request_id,
+                    "reason": reason,
+                    "failure_rate": round(view.failure_rate, 2),
+                    "for_s": round(view.ejected_until - now, 2),
+                },
+            )
+
+    def _check_upstreams(self, demand: Demand) -> None:
+        if not any(self._is_possible(view, demand) for view in self.views.values()):
+            message = f"service {self.service!r} has no upstream that takes work"
+            raise NoUpstreamError(message, self._spread(MIN_RETRY_AFTER_S * 4))
+
+    @staticmethod
+    def _is_possible(view: UpstreamView, demand: Demand) -> bool:
+        upstream = view.upstream
+        gone = upstream.draining or view.is_misdirected
+        return not gone and upstream.id not in demand.excluded
+
+    def _withdraw(self, waiter: Waiter) -> None:
+        """Undoes the wait of a request whose caller went away."""
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+        granted = waiter.granted
+        if granted.done() and not granted.cancelled() and not granted.exception():
+            self.release(granted.result(), waiter.demand, Abandoned())
+
+    async def _serve_waiters(self) -> None:
+        while self._waiters:
+            self._wake.clear()
+            await self._probe_round()
+            self._assign()
+            if not self._waiters:
+                break
+            try:
+                async with asyncio.timeout(ROUND_PAUSE_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    async def _probe_round(self) -> None:
+        """Asks the most promising upstreams for their load."""
+        now = self._clock()
+        usable = self._find_usable()
+        running = [view.probe for view in usable if view.probe is not None]
+        wanted = self._choose_probed(usable, now)
+        count = self.probes.take(len(wanted), now)
+        for view in wanted[:count]:
+            view.probe = asyncio.create_task(self._probe(view))
+            running.append(view.probe)
+        if running:
+            enough = PROBES_PER_ROUND - 1
+            await self._wait_for_probes(running, enough)
+
+    async def _wait_for_probes(
+        self, running: list[asyncio.Task[None]], enough: int
+    ) -> None:
+        """Waits until enough probes ended, or for ``PROBE_WAIT_S``."""
+        end = self._clock() + PROBE_WAIT_S
+        pending = set(running)
+        ended = 0
+        while pending and ended < enough:
+            left = end - self._clock()
+            if left <= 0:
+                return
+            done, pending = await asyncio.wait(
+                pending, timeout=left, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not done:
+                return
+            ended += len(done)
+
+    def _choose_probed(
+        self, usable: list[UpstreamView], now: float
+    ) -> list[UpstreamView]:
+        """Returns the upstreams to ask: half of them lately good ones, half any."""
+        candidates = [
+            view
+            for view in usable
+            if view.probe is None
+            and now >= view.silent_until
+            and now - view.reported_at > FRESH_S
+        ]
+        fresh = sum(1 for view in usable if now - view.reported_at <= FRESH_S)
+        count = PROBES_PER_ROUND + len(self._waiters) - 1 - fresh
+        count = max(0, min(MAX_PROBES_PER_ROUND, count))
+        if len(candidates) <= count:
+            return candidates
+        self._generator.shuffle(candidates)
+        hinted = [view for view in candidates if now - view.reported_at <= HINT_S]
+        hinted.sort(key=lambda view: self._estimate_for(view, 1.0, now).finish_s)
+        good = [view for view in hinted[: count // 2] if self._looks_good(view)]
+        slow = {view.upstream.id for view in hinted if not self._looks_good(view)}
+        others = [
+            view
+            for view in candidates
+            if view not in good and view.upstream.id not in slow
+        ]
+        rest = [view for view in candidates if view.upstream.id in slow]
+        return (good + others + rest)[:count]
+
+    @staticmethod
+    def _looks_good(view: UpstreamView) -> bool:
+        report = view.report
+        return report is not None and report.slowness < 2 and not report.waiting
+
+    async def _probe(self, view: UpstreamView) -> None:
+        asked_at = self._clock()
+        self.probes_sent += 1
+        try:
+            answer = await self._prober.probe(view.upstream)
+        except LookupError as error:
+            view.is_misdirected = True
+            extra = {"upstream": view.upstream.id, "reason": str(error)}
+            logger.info("upstream replaced at its address", extra=extra)
+            return
+        finally:
+            view.probe = None
+        now = self._clock()
+        if answer is None:
+            self._silence(view, now)
+            return
+        view.silences = 0
+        if view.is_ill is answer.is_well:
+            view.is_ill = not answer.is_well
+            logger.info(
+                "health of upstream changed",
+                extra={"upstream": view.upstream.id, "is_ill": view.is_ill},
+            )
+        report = answer.report
+        if report is None:
+            report = LoadReport(view.in_flight, 0, view.upstream.slots, 1.0)
+        view.take_report(report, asked_at, now)
+
+    def _silence(self, view: UpstreamView, now: float) -> None:
+        """Stops asking an upstream that does not answer, for longer each time."""
+        pause_s = min(LONGEST_SILENCE_S, FIRST_SILENCE_S * 2.0**view.silences)
+        view.silences += 1
+        view.silent_until = now + pause_s
+        view.report = None
+        view.reported_at = -1.0
+        if view.silences == 1:
+            extra = {"upstream": view.upstream.id, "pause_s": pause_s}
+            logger.info("upstream does not answer", extra=extra)
+
+    def _find_usable(self) -> list[UpstreamView]:
+        """Returns the upstreams that may get work, doubtful ones if few are left."""
+        now = self._clock()
+        taking = [
+            view
+            for view in self.views.values()
+            if not view.upstream.draining and not view.is_misdirected
+        ]
+        sound = [
+            view for view in taking if now >= view.ejected_until and not view.is_suspect
+        ]
+        if len(sound) < MIN_USABLE_SHARE * len(taking):
+            return taking
+        return sound
+
+    def _assign(self) -> None:
+        """Gives upstreams to waiting requests; refuses those that are too late."""
+        now = self._clock()
+        self._waiters.sort(key=lambda waiter: self._get_order(waiter.demand, now))
+        usable = self._find_usable()
+        reported = [view for view in usable if now - view.reported_at <= USABLE_S]
+        if not reported:
+            reported = [view for view in usable if now - view.reported_at <= STALE_S]
+        if not reported:
+            reported = [view for view in usable if not view.silences]
+        left: list[Waiter] = []
+        for waiter in self._waiters:
+            if waiter.granted.done():
+                continue
+            view = self._pick(waiter.demand, reported, now)
+            if view is not None:
+                self._grant(waiter, view, now)
+            elif not self._refuse_late(waiter, len(left), now):
+                left.append(waiter)
+        self._waiters = left
+
+    def _get_order(self, demand: Demand, now: float) -> tuple[int, bool, float]:
+        """Returns the place: urgent ones first, then those that can meet the target."""
+        late = now + self.work.get(demand.kind) > demand.target_at
+        return demand.priority, late, demand.deadline if late else demand.target_at
+
+    def _pick(
+        self, demand: Demand, views: Iterable[UpstreamView], now: float
+    ) -> UpstreamView | None:
+        """Returns the upstream that would finish first, if that is worth sending."""
+        work_s = self.work.get(demand.kind)
+        best: UpstreamView | None = None
+        best_estimate = Estimate(0.0, 0)
+        for view in views:
+            if view.upstream.id in demand.excluded or is_on_trial(view):
+                continue
+            estimate = estimate_finish(view, work_s, self._failure_domain, now)
+            if best is None or estimate.finish_s < best_estimate.finish_s:
+                best, best_estimate = view, estimate
+        if best is None or best_estimate.ahead > AHEAD_PER_SLOT * best.upstream.slots:
+            return None
+        to_target = demand.target_at - now
+        if best_estimate.finish_s <= to_target * COMFORT_SHARE:
+            return best
+        search_s = (demand.target_at - demand.arrived) * SEARCH_SHARE
+        if now - demand.arrived < search_s:
+            return None
+        return best if best_estimate.finish_s <= demand.deadline - now else None
+
+    def _estimate_for(self, view: UpstreamView, work_s: float, now: float) -> Estimate:
+        return estimate_finish(view, work_s, self._failure_domain, now)
+
+    def _grant(self, waiter: Waiter, view: UpstreamView, now: float) -> None:
+        view.note_send(now)
+        self._grants.append(now)
+        waiter.granted.set_result(view)
+
+    def _refuse_late(self, waiter: Waiter, before: int, now: float) -> bool:
+        """Refuses a request that cannot be answered in time; returns whether it did."""
+        demand = waiter.demand
+        try:
+            self._check_upstreams(demand)
+        except NoUpstreamError as error:
+            self._refuse(waiter, error)
+            return True
+        wait_s = self._predict_wait(before, now)
+        if now + wait_s + self.work.get(demand.kind) <= demand.deadline:
+            return False
+        message = f"service {self.service!r} cannot answer before the deadline"
+        drain_s = self._predict_wait(len(self._waiters), now)
+        retry_after_s = self._spread(max(MIN_RETRY_AFTER_S, drain_s))
+        self._refuse(waiter, DeadlineUnreachableError(message, retry_after_s))
+        return True
+
+    def _refuse(self, waiter: Waiter, error: BalancingError) -> None:
+        self.refused += 1
+        waiter.granted.set_exception(error)
+
+    def _predict_wait(self, before: int, now: float) -> float:
+        """Returns how long a request behind others waits, by the latest grants."""
+        while self._grants and self._grants[0] < now - RATE_WINDOW_S:
+            self._grants.popleft()
+        if before == 0:
+            return 0.0
+        return before * RATE_WINDOW_S / max(1, len(self._grants))
+
+    def _spread(self, wait_s: float) -> float:
+        """Returns advice around a wait, so that callers do not return together."""
+        spread = wait_s * self._generator.uniform(0.75, 1.5)
+        return min(MAX_RETRY_AFTER_S, spread)
--- /dev/null
+++ b/src/verbenacross/balancing/token_bucket.py
@@ -0,0 +1,23 @@
+"""Limits a rate."""
+
+from __future__ import annotations
+
+
+class TokenBucket:
+    """Limits a rate; ``rate`` is in tokens a second and may change."""
+
+    def __init__(self, rate: float, burst_s: float, now: float) -> None:
+        self.rate = rate
+        self._burst_s = burst_s
+        self._tokens = rate * burst_s
+        self._updated = now
+
+    def take(self, wanted: int, now: float) -> int:
+        """Takes up to ``wanted`` whole tokens; returns how many."""
+        limit = max(1.0, self.rate * self._burst_s)
+        grown = self._tokens + (now - self._updated) * self.rate
+        self._tokens = min(limit, grown)
+        self._updated = now
+        taken = min(wanted, int(self._tokens))
+        self._tokens -= taken
+        return taken
--- /dev/null
+++ b/src/verbenacross/console/node_application.py
@@ -0,0 +1,55 @@
+"""Command line of the node program."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import sys
+
+import logbook
+
+from ..documents.exceptions import SettingsError
+from ..node.node import Node
+from ..node.settings import NodeSettings
+from ..observability.logs import configure_line_logs
+from ..platform.boot import SETTINGS_VARIABLE
+
+EXIT_SETTINGS = 2
+USAGE = (
+    f"usage: verbenacross-node [SETTINGS]   (default: the file in {SETTINGS_VARIABLE})"
+)
+
+logger = logbook.Logger("verbenacross.node")
+
+
+def main() -> None:
+    """Runs the node program."""
+    sys.exit(run(sys.argv[1:]))
+
+
+def run(arguments: list[str]) -> int:
+    """Runs a node on the settings named by an argument or the environment.
+
+    Returns the exit code. The command line is read by hand: a parser would be a third
+    of the start-up time, which callers wait for after a restart.
+    """
+    path = arguments[0] if arguments else os.environ.get(SETTINGS_VARIABLE, "")
+    if len(arguments) > 1 or not path or path.startswith("-"):
+        print(USAGE, file=sys.stderr)
+        return EXIT_SETTINGS
+    try:
+        settings = NodeSettings.from_file(path)
+    except SettingsError as error:
+        for finding in error.findings:
+            print(finding, file=sys.stderr)
+        return EXIT_SETTINGS
+    configure_line_logs(settings.log_level, settings.log_lines_per_second)
+    # Objects made so far live as long as the process.
+    gc.freeze()
+    asyncio.run(Node.run_from_settings(settings))
+    return 0
+
+
+if __name__ == "__main__":
+    main()
--- a/src/verbenacross/console/policy_file.py
+++ b/src/verbenacross/console/policy_file.py
@@ -4,10 +4,10 @@
 
 from typing import NamedTuple
 
+from ..documents.file import read_file
 from ..policy import Policy, PolicyError, parse_policy
 from ..policy.policy_record import build_key
 from ..settings import SettingsError
-from ..settings.loader import read_file
 from .exceptions import CommandError
 from .store_session import report_findings
 
--- a/src/verbenacross/console/process_runner.py
+++ b/src/verbenacross/console/process_runner.py
@@ -11,7 +11,7 @@
 
 import logbook
 
-from ..observability import configure_logs
+from ..observability.logs import configure_logs
 from ..settings import Address, SettingsError, load_settings
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/src/verbenacross/documents/__init__.py
@@ -0,0 +1,1 @@
+"""JSON documents: strict reading, typed fields, findings with their place."""
--- /dev/null
+++ b/src/verbenacross/documents/fields.py
@@ -0,0 +1,119 @@
+"""Reads the fields of a JSON document one by one and collects the findings."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from .address import Address
+from .document import DocumentFaultError, format_path, limit_findings, parse_document
+from .durations import parse_duration
+from .finding import Finding
+
+Location = tuple[int | str, ...]
+
+
+class Fields:
+    """The fields of one object in a document.
+
+    Each ``get_`` method returns the field or, after noting a finding, a neutral value;
+    ``Document.finish`` raises if there was any finding.
+    """
+
+    def __init__(self, document: Document, value: Any, location: Location) -> None:
+        self._document = document
+        self._location = location
+        self._fields: dict[str, Any] = value if isinstance(value, dict) else {}
+        if not isinstance(value, dict):
+            document.note(location, "must be an object")
+
+    def has(self, name: str) -> bool:
+        """Returns whether a field is present and not null."""
+        return self._fields.get(name) is not None
+
+    def get_text(self, name: str, default: str | None = None) -> str:
+        """Returns a text that is not empty."""
+        value = self._fields.get(name, default)
+        if isinstance(value, str) and value:
+            return value
+        self.note(name, "must be a text")
+        return ""
+
+    def get_texts(self, name: str) -> list[str]:
+        """Returns a list of texts, empty if there is no such field."""
+        value = self._fields.get(name) or []
+        if isinstance(value, list) and all(isinstance(part, str) for part in value):
+            return value
+        self.note(name, "must be a list of texts")
+        return []
+
+    def get_int(self, name: str, minimum: int, default: int | None = None) -> int:
+        """Returns a whole number of at least ``minimum``."""
+        value = self._fields.get(name, default)
+        if isinstance(value, int) and value is not True and value >= minimum:
+            return value
+        self.note(name, f"must be a whole number of at least {minimum}")
+        return minimum
+
+    def get_number(
+        self, name: str, minimum: float, default: float | None = None
+    ) -> float:
+        """Returns a number of at least ``minimum``."""
+        value = self._fields.get(name, default)
+        if isinstance(value, int | float) and value is not True and value >= minimum:
+            return float(value)
+        self.note(name, f"must be a number of at least {minimum}")
+        return minimum
+
+    def get_duration(self, name: str, default: str | None = None) -> float:
+        """Returns a duration in seconds."""
+        try:
+            return parse_duration(self._fields.get(name, default))
+        except ValueError as error:
+            self.note(name, str(error))
+            return 0.0
+
+    def get_address(self, name: str) -> Address:
+        """Returns an IP address with a port."""
+        try:
+            return Address.from_text(self.get_text(name))
+        except ValueError as error:
+            self.note(name, str(error))
+            return Address("0.0.0.0", 0)
+
+    def get_object(self, name: str) -> Fields:
+        """Returns an object in a field."""
+        return Fields(self._document, self._fields.get(name), (*self._location, name))
+
+    def get_objects(self, name: str) -> list[Fields]:
+        """Returns the objects of a list."""
+        value = self._fields.get(name)
+        if not isinstance(value, list):
+            self.note(name, "must be a list")
+            return []
+        return [
+            Fields(self._document, part, (*self._location, name, index))
+            for index, part in enumerate(value)
+        ]
+
+    def note(self, name: str, message: str) -> None:
+        """Notes a finding about a field."""
+        self._document.note((*self._location, name), message)
+
+
+class Document:
+    """A JSON document and the findings so far."""
+
+    def __init__(self, source: str, data: bytes) -> None:
+        """Reads a JSON object; raises ``DocumentFaultError``."""
+        self._source = source
+        self._findings: list[Finding] = []
+        self.root = Fields(self, parse_document(data, source), ())
+
+    def note(self, location: Location, message: str) -> None:
+        """Notes a finding."""
+        self._findings.append(Finding(self._source, format_path(location), message))
+
+    def finish(self) -> None:
+        """Raises ``DocumentFaultError`` with every finding, if there is one."""
+        if self._findings:
+            raise DocumentFaultError(limit_findings(self._findings))
--- a/src/verbenacross/entry/answer.py
+++ b/src/verbenacross/entry/answer.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import socket
-import struct
 from typing import TYPE_CHECKING
 
-from aiohttp import hdrs, web
+from aiohttp import hdrs
 
 from ..infrastructure.upstream_signals import EXECUTION_HEADER
 from ..refusals import Execution
+from ..transport.answer_body import is_bodiless
 from ..transport.exceptions import UnusableAnswerError
 from ..transport.headers import REQUEST_ID_HEADER, append_via, copy_end_to_end
 
@@ -20,9 +19,7 @@
 MAX_BUFFERED_BYTES = 65_536
 HTTP_SWITCHING_PROTOCOLS = 101
 HTTP_SERVER_ERROR = 500
-BODILESS_STATUSES = frozenset({204, 304})
 NOT_RUN_TEXT = "not-run"
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def check_head(answer: aiohttp.ClientResponse, attempt_id: str) -> None:
@@ -44,11 +41,6 @@
         raise UnusableAnswerError("the answer is delimited only by its close")
 
 
-def is_bodiless(answer: aiohttp.ClientResponse) -> bool:
-    """Returns whether an answer never has a body."""
-    return answer.method == hdrs.METH_HEAD or answer.status in BODILESS_STATUSES
-
-
 def is_small(answer: aiohttp.ClientResponse) -> bool:
     """Returns whether an answer is read whole before its head is passed on."""
     length = answer.headers.get(hdrs.CONTENT_LENGTH)
@@ -88,27 +80,3 @@
     if may_have_run and headers.get(EXECUTION_HEADER) == NOT_RUN_TEXT:
         headers[EXECUTION_HEADER] = Execution.UNKNOWN.value
     return headers
-
-
-async def stream(
-    answer: aiohttp.ClientResponse, response: web.StreamResponse
-) -> web.StreamResponse:
-    """Passes a body on as it arrives; the response must be prepared."""
-    async for chunk in answer.content.iter_any():
-        await response.write(chunk)
-    await response.write_eof()
-    return response
-
-
-def abort_caller(request: web.BaseRequest) -> None:
-    """Breaks the caller's connection so that no answer on it looks whole.
-
-    The reset also tells an HTTP/1.0 caller, whose body ends with the connection.
-    """
-    transport = request.transport
-    if transport is None:
-        return
-    opened = transport.get_extra_info("socket")
-    if opened is not None:
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    transport.abort()
--- a/src/verbenacross/entry/entry.py
+++ b/src/verbenacross/entry/entry.py
@@ -17,7 +17,7 @@
 from ..infrastructure.http_key_value_store import HttpKeyValueStore
 from ..infrastructure.instance_list import AGENT_SERVICE
 from ..limits import PermitClient, ServiceGate
-from ..observability import AdminServer
+from ..observability.admin_server import AdminServer
 from ..policy import PolicyTable
 from ..policy.policy_selector import (
     PolicySelector,
@@ -29,12 +29,12 @@
 from ..refusals import RefusedError, refuse_not_run
 from ..routing import ServiceRouter
 from ..transport.caller_server import CallerServer
+from ..transport.drain import Drain
 from ..transport.headers import CALLER_HEADER, SERVICE_HEADER
 from ..transport.upstream_client import UpstreamClient
 from ..upstreams import ObservationReporter, ObservationTable, UpstreamDirectory
 from ..upstreams.replacement_watch import ReplacementWatch
 from .agent_link import AgentLink
-from .drain import Drain
 from .forwarder import Forwarder
 from .idempotency_keys import IdempotencyKeys
 from .request_reader import (
--- a/src/verbenacross/entry/exchange.py
+++ b/src/verbenacross/entry/exchange.py
@@ -15,6 +15,7 @@
 from ..infrastructure.upstream_signals import read_load, read_state
 from ..refusals import Execution, Refusal, RefusedError
 from ..routing import AttemptOutcome
+from ..transport.answer_body import abort_caller, is_bodiless, stream
 from ..transport.attempt_guard import AttemptGuard
 from ..transport.exceptions import CallerBodyError, UnusableAnswerError
 from ..transport.headers import (
@@ -26,23 +27,15 @@
     copy_end_to_end,
 )
 from ..transport.request_body import RequestBody
-from .answer import (
-    abort_caller,
-    build_headers,
-    check_head,
-    is_bodiless,
-    is_small,
-    read_execution,
-    stream,
-)
+from .answer import build_headers, check_head, is_small, read_execution
 
 if TYPE_CHECKING:
     from multidict import CIMultiDict
 
     from ..limits import RetryBudget, ServiceGate
     from ..routing import RequestContext, UpstreamState
+    from ..transport.drain import Drain
     from ..transport.upstream_client import UpstreamClient
-    from .drain import Drain
 
 MS_PER_S = 1_000
 HTTP_SERVER_ERROR = 500
--- a/src/verbenacross/entry/forwarder.py
+++ b/src/verbenacross/entry/forwarder.py
@@ -14,8 +14,8 @@
 
     from ..limits import ServiceGate
     from ..routing import RequestContext
+    from ..transport.drain import Drain
     from ..transport.upstream_client import UpstreamClient
-    from .drain import Drain
     from .idempotency_keys import IdempotencyKeys
 
 
--- a/src/verbenacross/infrastructure/exceptions.py
+++ b/src/verbenacross/infrastructure/exceptions.py
@@ -16,6 +16,10 @@
     """
 
 
+class HistoryLostError(StoreError):
+    """The store no longer has the changes after the revision that was asked for."""
+
+
 class StoreConflictError(StoreError):
     """A compare-and-swap found another revision.
 
--- a/src/verbenacross/infrastructure/http_key_value_store.py
+++ b/src/verbenacross/infrastructure/http_key_value_store.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from .exceptions import (
+    HistoryLostError,
     LeaseLostError,
     StoreConflictError,
     StoreError,
@@ -57,7 +58,9 @@
             "GET", "/v1/watch", params=params, extra_ms=wait_ms
         )
         if status == HTTP_GONE:
-            raise StoreError(f"changes after revision {revision} are no longer held")
+            raise HistoryLostError(
+                f"changes after revision {revision} are no longer held"
+            )
         return read_snapshot(answer)
 
     async def put(
--- a/src/verbenacross/infrastructure/key_value_store.py
+++ b/src/verbenacross/infrastructure/key_value_store.py
@@ -39,8 +39,9 @@
     async def watch(self, prefix: str, revision: int, wait_ms: int) -> StoreSnapshot:
         """Returns the changes under a prefix after a revision.
 
-        Waits up to ``wait_ms`` milliseconds for the first change. Raises ``StoreError``
-        when the store no longer has the changes after that revision.
+        Waits up to ``wait_ms`` milliseconds for the first change. Raises
+        ``HistoryLostError`` when the store no longer has the changes after that
+        revision.
         """
 
     async def put(
--- /dev/null
+++ b/src/verbenacross/node/balancers.py
@@ -0,0 +1,117 @@
+"""Balancers of all services."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Any
+
+from ..balancing.retry_allowance import RetryAllowance
+from ..balancing.service_balancer import ServiceBalancer
+
+if TYPE_CHECKING:
+    from ..balancing.service_balancer import Prober
+    from .knowledge import Knowledge
+    from .settings import NodeSettings
+
+
+class Balancers:
+    """Balancers and retry allowances of all services, fed by the knowledge."""
+
+    def __init__(
+        self, settings: NodeSettings, knowledge: Knowledge, prober: Prober
+    ) -> None:
+        self.instances = 1
+        self._settings = settings
+        self._knowledge = knowledge
+        self._prober = prober
+        self._generator = random.Random()
+        self._loop = asyncio.get_running_loop()
+        self._balancers: dict[str, ServiceBalancer] = {}
+        self._allowances: dict[str, RetryAllowance] = {}
+        self._services: dict[str, str] = {}
+        knowledge.upstreams.subscribe(self._update_upstream)
+        knowledge.members.subscribe(self._update_members)
+
+    def get(self, service: str) -> ServiceBalancer:
+        """Returns the balancer of a service."""
+        balancer = self._balancers.get(service)
+        if balancer is None:
+            balancer = self._balancers[service] = ServiceBalancer(
+                service,
+                self._settings.failure_domain,
+                self._prober,
+                self._generator,
+                self._loop.time,
+            )
+            self._set_rate(balancer)
+        return balancer
+
+    def get_allowance(self, service: str, now: float) -> RetryAllowance:
+        """Returns the allowance of a service after counting a request for it."""
+        allowance = self._allowances.get(service)
+        if allowance is None:
+            settings = self._settings
+            allowance = self._allowances[service] = RetryAllowance(
+                settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+            )
+        allowance.note_request(now)
+        return allowance
+
+    def close(self) -> None:
+        """Ends the work of all balancers."""
+        for balancer in self._balancers.values():
+            balancer.close()
+
+    def count_waiting(self) -> int:
+        """Returns how many requests wait for an upstream."""
+        return sum(balancer.waiting for balancer in self._balancers.values())
+
+    def count_probes(self) -> int:
+        """Returns how many probes were sent."""
+        return sum(balancer.probes_sent for balancer in self._balancers.values())
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the state as a JSON object."""
+        return {
+            name: {
+                "waiting": balancer.waiting,
+                "refused": balancer.refused,
+                "probes": balancer.probes_sent,
+                "upstreams": {
+                    identifier: {
+                        "in_flight": view.in_flight,
+                        "report": view.report,
+                        "failure_rate": round(view.failure_rate, 2),
+                        "draining": view.upstream.draining,
+                    }
+                    for identifier, view in balancer.views.items()
+                },
+            }
+            for name, balancer in self._balancers.items()
+        }
+
+    def _update_upstream(self, identifier: str) -> None:
+        entry = self._knowledge.entries[identifier]
+        upstream = entry.upstream
+        previous = self._services.get(identifier)
+        if previous is not None and (upstream is None or upstream.service != previous):
+            del self._services[identifier]
+            self.get(previous).remove_upstream(identifier)
+            self._set_rate(self.get(previous))
+        if upstream is None:
+            return
+        self._services[identifier] = upstream.service
+        balancer = self.get(upstream.service)
+        balancer.set_upstream(upstream)
+        balancer.views[identifier].is_suspect = entry.is_suspect
+        self._set_rate(balancer)
+
+    def _update_members(self, count: int) -> None:
+        self.instances = max(1, count)
+        for balancer in self._balancers.values():
+            self._set_rate(balancer)
+
+    def _set_rate(self, balancer: ServiceBalancer) -> None:
+        rate = self._settings.probes_per_second
+        balancer.set_probe_rate(rate, self.instances)
--- /dev/null
+++ b/src/verbenacross/node/node.py
@@ -0,0 +1,187 @@
+"""The node process."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import socket
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import logbook
+from aiohttp import web
+
+from ..platform.records import WATCHED_PREFIX, read_change
+from ..platform.store import PlatformStore
+from ..routes.destination_choice import DestinationChoice
+from ..transport.caller_server import CallerServer
+from ..transport.upstream_client import UpstreamClient
+from .balancers import Balancers
+from .caller_connections import CallerConnections
+from .knowledge import Knowledge
+from .node_metrics import NodeMetrics
+from .request_handler import RequestHandler
+from .shutdown import Shutdown
+from .side_servers import serve_metrics, serve_readiness
+from .store_feed import StoreFeed
+from .upstream_prober import UpstreamProber
+
+if TYPE_CHECKING:
+    from aioprometheus import Registry
+
+    from ..routes.route_table import RouteTable
+    from .settings import NodeSettings
+
+# The platform's store answers in milliseconds; a longer silence means trouble.
+STORE_TIMEOUT_S = 0.8
+LISTEN_BACKLOG = 1_024
+MAX_HEADER_BYTES = 65_536
+PROBE_KEEPALIVE_S = 8.0
+# Above every idle limit, because ``CallerConnections`` closes idle connections.
+OWN_IDLE_SWEEP_S = 86_400.0
+
+logger = logbook.Logger("verbenacross.node")
+
+
+class Node:
+    """Entry and control of one instance."""
+
+    def __init__(
+        self, settings: NodeSettings, client: UpstreamClient, sessions: Sessions
+    ) -> None:
+        self.settings = settings
+        self.metrics = NodeMetrics()
+        self.knowledge = Knowledge()
+        self.shutdown = Shutdown(settings)
+        self.connections = CallerConnections()
+        store = PlatformStore(sessions.store, settings.store, STORE_TIMEOUT_S)
+        self.feed = StoreFeed(store, WATCHED_PREFIX, read_change, self.knowledge)
+        prober = UpstreamProber(sessions.probes, self._find_health_path)
+        self.balancers = Balancers(settings, self.knowledge, prober)
+        self.handler = RequestHandler(
+            self.knowledge,
+            self.balancers,
+            client,
+            self.connections,
+            self.shutdown,
+            self.metrics,
+            DestinationChoice(random.Random()),
+        )
+        self.knowledge.configurations.subscribe(self._take_table)
+
+    @classmethod
+    async def run_from_settings(cls, settings: NodeSettings) -> None:
+        """Runs a node until it is told to stop."""
+        async with AsyncExitStack() as stack:
+            client = await UpstreamClient.from_stack(stack, MAX_HEADER_BYTES)
+            sessions = await Sessions.from_stack(stack)
+            node = cls(settings, client, sessions)
+            stack.callback(node.balancers.close)
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGTERM, node.shutdown.request)
+            await node.run(stack)
+
+    async def run(self, stack: AsyncExitStack) -> None:
+        """Serves callers until stopped, then lets requests in flight end."""
+        settings = self.settings
+        server = CallerServer(
+            self.handler.handle,
+            access_log=None,
+            auto_decompress=False,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            keepalive_timeout=OWN_IDLE_SWEEP_S,
+        )
+        await serve_readiness(stack, settings.readiness_listen, self.is_ready)
+        await serve_metrics(stack, settings.metrics_listen, self)
+        runner = web.ServerRunner(server, shutdown_timeout=0.0)
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        address = settings.listen
+        await web.TCPSite(
+            runner, address.host, address.port, backlog=LISTEN_BACKLOG
+        ).start()
+        for work in (self.feed.run(), self.connections.run(server)):
+            stack.callback(asyncio.create_task(work).cancel)
+        logger.info("started", extra={"listen": str(address)})
+        await self.shutdown.wait()
+
+    def is_ready(self) -> bool:
+        """Returns whether the process wants new connections."""
+        return self.knowledge.is_complete() and not self.shutdown.requested.is_set()
+
+    def dump_state(self) -> dict[str, Any]:
+        """Returns the state of the process as a JSON object."""
+        return {
+            "instance": self.settings.instance,
+            "ready": self.is_ready(),
+            "in_flight": self.shutdown.drain.in_flight,
+            "store_connected": self.feed.is_connected,
+            "knowledge": self.knowledge.describe(),
+            "services": self.balancers.describe(),
+        }
+
+    def refresh_metrics(self) -> Registry:
+        """Returns the registry with gauges of this moment."""
+        table = self.knowledge.table
+        for name, value in (
+            ("ready", self.is_ready()),
+            ("in_flight", self.shutdown.drain.in_flight),
+            ("store_connected", self.feed.is_connected),
+            ("store_calls", self.feed.calls),
+            ("configuration_version", table.version if table else 0),
+            ("instances", self.balancers.instances),
+            ("waiting", self.balancers.count_waiting()),
+            ("probes", self.balancers.count_probes()),
+        ):
+            self.metrics.gauges.set({"name": name}, float(value))
+        return self.metrics.registry
+
+    def _take_table(self, table: RouteTable) -> None:
+        self.connections.idle_timeout_s = table.limits.idle_timeout_s
+
+    def _find_health_path(self, service: str) -> str | None:
+        table = self.knowledge.table
+        found = table.services.get(service) if table is not None else None
+        return found.health_path if found is not None else None
+
+
+class Sessions:
+    """HTTP sessions for everything but requests of callers."""
+
+    def __init__(
+        self, store: aiohttp.ClientSession, probes: aiohttp.ClientSession
+    ) -> None:
+        self.store = store
+        self.probes = probes
+
+    @classmethod
+    async def from_stack(cls, stack: AsyncExitStack) -> Sessions:
+        """Returns sessions that the stack closes."""
+        store = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, socket_factory=open_socket),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        probes = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=PROBE_KEEPALIVE_S
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        await stack.enter_async_context(store)
+        await stack.enter_async_context(probes)
+        return cls(store, probes)
+
+
+def open_socket(address: tuple[Any, ...]) -> socket.socket:
+    """Returns a socket whose silent peer is noticed within about three seconds."""
+    family, kind, protocol, _, _ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setblocking(False)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+    return opened
--- /dev/null
+++ b/src/verbenacross/node/node_metrics.py
@@ -0,0 +1,57 @@
+"""Metrics of the node program."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+
+if TYPE_CHECKING:
+    from ..routes.route import Route
+
+# Bounds of latencies in seconds.
+LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
+
+
+class NodeMetrics:
+    """Counters and histograms of the node program."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self._latency = Histogram(
+            "verbenacross_request_seconds",
+            "Time from a request's arrival to its answer",
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self._requests = Counter(
+            "verbenacross_requests_total",
+            "Requests by service, repeatability and status",
+            registry=self.registry,
+        )
+        self._refusals = Counter(
+            "verbenacross_refusals_total",
+            "Requests refused before a choice, by problem",
+            registry=self.registry,
+        )
+        self.gauges = Gauge(
+            "verbenacross_state",
+            "State of the process by name",
+            registry=self.registry,
+        )
+
+    def note_request(
+        self, service: str, route: Route, status: int, duration_s: float
+    ) -> None:
+        """Counts a request that reached the balancer of a service."""
+        labels = {
+            "service": service,
+            "kind": "idempotent" if route.idempotent else "once",
+            "status": str(status),
+        }
+        self._requests.inc(labels)
+        self._latency.observe({"service": service}, duration_s)
+
+    def note_refusal(self, problem: str) -> None:
+        """Counts a request that was refused before a choice."""
+        self._refusals.inc({"problem": problem})
--- /dev/null
+++ b/src/verbenacross/node/settings.py
@@ -0,0 +1,81 @@
+"""Settings of the node program."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from ..documents.document import DocumentFaultError
+from ..documents.exceptions import SettingsError
+from ..documents.fields import Document
+from ..documents.file import read_file
+
+if TYPE_CHECKING:
+    from ..documents.address import Address
+
+
+class NodeSettings(NamedTuple):
+    """Settings of the node program; durations are in seconds.
+
+    ``seeds`` are peer addresses of other instances that may be stale. An upstream
+    serves for ``drain_timeout_s`` after it announced to leave. The process is killed
+    ``grace_period_s`` after it was told to stop. Repeats and probes are limits over all
+    instances together.
+    """
+
+    instance: str
+    failure_domain: str
+    listen: Address
+    readiness_listen: Address
+    peer_listen: Address
+    metrics_listen: Address
+    seeds: tuple[str, ...]
+    store: str
+    heartbeat_s: float
+    memory_mb: int
+    max_descriptors: int
+    drain_timeout_s: float
+    grace_period_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_slack: float
+    probes_per_second: float
+    log_level: str
+    log_lines_per_second: int
+
+    @classmethod
+    def from_file(cls, path: str) -> NodeSettings:
+        """Returns the settings; raises ``SettingsError`` with every finding."""
+        data = read_file(path)
+        try:
+            document = Document(path, data)
+            settings = cls.from_document(document)
+            document.finish()
+        except DocumentFaultError as error:
+            raise SettingsError(error.findings) from error
+        return settings
+
+    @classmethod
+    def from_document(cls, document: Document) -> NodeSettings:
+        """Returns the settings; findings stay with the document."""
+        root = document.root
+        return cls(
+            instance=root.get_text("instance"),
+            failure_domain=root.get_text("failure_domain"),
+            listen=root.get_address("listen"),
+            readiness_listen=root.get_address("readiness_listen"),
+            peer_listen=root.get_address("peer_listen"),
+            metrics_listen=root.get_address("metrics_listen"),
+            seeds=tuple(root.get_texts("seeds")),
+            store=root.get_text("store"),
+            heartbeat_s=root.get_duration("heartbeat"),
+            memory_mb=root.get_int("memory_mb", 1),
+            max_descriptors=root.get_int("max_descriptors", 1),
+            drain_timeout_s=root.get_duration("drain_timeout"),
+            grace_period_s=root.get_duration("grace_period"),
+            retry_ratio=root.get_number("retry_ratio", 0.0),
+            retry_window_s=root.get_duration("retry_window"),
+            retry_slack=root.get_number("retry_slack", 0.0),
+            probes_per_second=root.get_number("probes_per_second", 0.0),
+            log_level=root.get_text("log_level", default="INFO"),
+            log_lines_per_second=root.get_int("log_lines_per_second", 1, default=200),
+        )
--- a/src/verbenacross/observability/logs.py
+++ b/src/verbenacross/observability/logs.py
@@ -1,4 +1,4 @@
-"""Logs as JSON lines on standard error.
+"""Logs as JSON lines, on standard error or, bounded, on standard output.
 
 Every line is one JSON object with ``time``, ``level``, ``logger`` and ``message``.
 Fields of a record's ``extra`` become members; those that concern a request are
@@ -11,11 +11,13 @@
 import logging
 import math
 import sys
+import time
 from typing import Any
 
 import logbook
 from logbook.compat import redirect_logging
 
+from .line_writer import LineWriter
 from .log_counts import LogCounts
 
 MAX_TEXT_CHARACTERS = 8_192
@@ -43,6 +45,33 @@
     logging.captureWarnings(True)
 
 
+class LineHandler(logbook.Handler):  # type: ignore[misc]
+    """Writes records as JSON lines to standard output without blocking."""
+
+    def __init__(self, level: str, lines_per_second: int) -> None:
+        super().__init__(level=level)
+        self.writer = LineWriter(sys.stdout.fileno(), lines_per_second)
+        self.formatter = format_record
+
+    def emit(self, record: Any) -> None:
+        """Writes a record; warnings come before successes when there are many."""
+        important = record.level >= logbook.WARNING
+        line = self.format(record)
+        self.writer.write(line, time.monotonic(), important=important)
+
+
+def configure_line_logs(level: str, lines_per_second: int) -> LineWriter:
+    """Sends all logs of this process to standard output, bounded and never blocking."""
+    while installed:
+        installed.pop().pop_application()
+    handler = LineHandler(level, lines_per_second)
+    handler.push_application()
+    installed.append(handler)
+    redirect_logging(set_root_logger_level=False)
+    logging.captureWarnings(True)
+    return handler.writer
+
+
 def format_record(record: Any, handler: Any) -> str:
     """Returns one JSON line for a log record, whatever the record holds."""
     log_counts.count(record.level_name)
--- /dev/null
+++ b/src/verbenacross/platform/records.py
@@ -0,0 +1,58 @@
+"""Tells what a key of the platform's store is about."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..documents.document import DocumentFaultError
+from ..node.changes import (
+    ConfigurationChange,
+    NodeChange,
+    UnusableConfiguration,
+    UpstreamChange,
+)
+from .configuration import decode_configuration
+from .server_entries import decode_server
+
+if TYPE_CHECKING:
+    from ..infrastructure.key_value_store import StoredValue
+    from ..node.changes import Change
+
+CONFIGURATION_KEY = "op/config"
+SERVER_PREFIX = "servers/"
+# Own keys; the platform reserves its own prefixes and accepts any other.
+NODE_PREFIX = "verbenacross/nodes/"
+WATCHED_PREFIX = ""
+
+
+def read_change(record: StoredValue) -> Change | None:
+    """Returns what a record changes, ``None`` if it concerns this system not at all."""
+    key, data, revision = record
+    if key == CONFIGURATION_KEY:
+        return read_configuration(data, revision)
+    if key.startswith(SERVER_PREFIX):
+        return read_server(key[len(SERVER_PREFIX) :], data, revision)
+    if key.startswith(NODE_PREFIX):
+        return NodeChange(key[len(NODE_PREFIX) :], revision, data)
+    return None
+
+
+def read_configuration(data: bytes | None, revision: int) -> Change:
+    """Returns the change of the configuration."""
+    if data is None:
+        return UnusableConfiguration(revision, "the configuration is deleted")
+    try:
+        return ConfigurationChange(decode_configuration(data, revision), data)
+    except DocumentFaultError as error:
+        return UnusableConfiguration(revision, str(error))
+
+
+def read_server(identifier: str, data: bytes | None, revision: int) -> UpstreamChange:
+    """Returns the change of an upstream; a malformed entry names none to use."""
+    if data is None:
+        return UpstreamChange(identifier, revision, None)
+    try:
+        upstream = decode_server(identifier, data)
+    except DocumentFaultError as error:
+        return UpstreamChange(identifier, revision, None, fault=str(error))
+    return UpstreamChange(identifier, revision, upstream)
--- /dev/null
+++ b/src/verbenacross/platform/server_entries.py
@@ -0,0 +1,38 @@
+"""Decodes what servers write about themselves."""
+
+from __future__ import annotations
+
+from ..balancing.upstream import Upstream
+from ..documents.fields import Document
+
+DRAINING = "draining"
+READY = "ready"
+
+
+def decode_server(identifier: str, data: bytes) -> Upstream:
+    """Returns an upstream; raises ``DocumentFaultError`` if the entry names none."""
+    document = Document(f"server {identifier!r}", data)
+    root = document.root
+    information = root.get_object("info")
+    status = root.get_object("status")
+    state = status.get_text("state")
+    if state not in (READY, DRAINING):
+        status.note("state", f"unknown state {state!r}")
+    address = root.get_text("address")
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal():
+        root.note("address", f"{address!r} is not HOST:PORT")
+    upstream = Upstream(
+        id=identifier,
+        service=information.get_text("service"),
+        address=address,
+        failure_domain=information.get_text("zone"),
+        slots=information.get_int("max_concurrency", 1),
+        draining=state == DRAINING,
+        # How much longer the server stays slow after its start.
+        cold_s=status.get_duration("warmup_left", default="0ms"),
+        # Counts reports of one start; it begins anew when ``born`` changes.
+        started_ms=root.get_int("born", 0, default=0),
+    )
+    document.finish()
+    return upstream
--- /dev/null
+++ b/src/verbenacross/platform/store.py
@@ -0,0 +1,206 @@
+"""The platform's key-value store over HTTP."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from ..documents.durations import format_milliseconds
+from ..infrastructure.exceptions import (
+    HistoryLostError,
+    LeaseLostError,
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+from ..infrastructure.key_value_store import StoredValue, StoreSnapshot
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_GONE = 410
+HTTP_PRECONDITION_FAILED = 412
+HTTP_TOO_MANY_REQUESTS = 429
+HTTP_SERVER_ERROR = 500
+MS_PER_S = 1_000
+# The platform's longest wait of a watch.
+MAX_WAIT_MS = 30_000
+
+
+class PlatformStore:
+    """The platform's key-value store; implements ``KeyValueStore``.
+
+    Every call ends within ``timeout_s``, a watch within that and its wait, so that a
+    connection that has gone silent is found and replaced.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, address: str, timeout_s: float
+    ) -> None:
+        self._session = session
+        self._url = f"http://{address}/verbenacross/"
+        self._timeout_s = timeout_s
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Returns the value of a key, or ``None`` when it is absent."""
+        status, answer = await self._call("GET", "kv-key", {"key": key})
+        return None if status == HTTP_NOT_FOUND else read_value(answer)
+
+    async def read_prefix(self, prefix: str) -> StoreSnapshot:
+        """Returns all values under a prefix, as of the first page or later.
+
+        The pages are no snapshot, so the revision is that of the first one: a watch
+        from there repeats what changed while the others were read.
+        """
+        values: list[StoredValue] = []
+        revision: int | None = None
+        params = {"path_prefix": prefix}
+        while True:
+            _, answer = await self._call("GET", "kv-range", params)
+            page = read_values(answer, "items")
+            values += page
+            if revision is None:
+                revision = read_revision(answer, "at")
+            if not answer.get("truncated") or not page:
+                return StoreSnapshot(revision, tuple(values))
+            params = {"path_prefix": prefix, "after": page[-1].key}
+
+    async def watch(self, prefix: str, revision: int, wait_ms: int) -> StoreSnapshot:
+        """Returns the changes under a prefix after a revision."""
+        wait_ms = min(wait_ms, MAX_WAIT_MS)
+        params = {
+            "path_prefix": prefix,
+            "after": str(revision),
+            "wait_ms": str(wait_ms),
+        }
+        extra_s = wait_ms / MS_PER_S
+        status, answer = await self._call("GET", "kv-watch", params, extra_s=extra_s)
+        if status == HTTP_GONE:
+            raise HistoryLostError(
+                f"changes after revision {revision} are no longer held"
+            )
+        return StoreSnapshot(read_revision(answer, "at"), read_values(answer, "events"))
+
+    async def put(
+        self, key: str, value: bytes, expected: int, lease: str | None = None
+    ) -> int:
+        """Writes a value if the key is at the expected revision (0: absent)."""
+        write = {"key": key, "value": base64.b64encode(value).decode()}
+        if lease is not None:
+            write["lease"] = int(lease)  # type: ignore[assignment]
+        return await self._change(key, expected, writes=[write], deletes=[])
+
+    async def delete(self, key: str, expected: int) -> int:
+        """Deletes a key if it is at the expected revision; returns the new revision."""
+        return await self._change(key, expected, writes=[], deletes=[key])
+
+    async def grant_lease(self, ttl_ms: int) -> str:
+        """Returns the id of a new lease that lives for ``ttl_ms`` milliseconds."""
+        body = {"ttl_time": format_milliseconds(ttl_ms / MS_PER_S)}
+        _, answer = await self._call("POST", "kv-lease", body=body)
+        return str(read_revision(answer, "lease"))
+
+    async def renew_lease(self, lease: str) -> None:
+        """Restarts the lifetime of a lease; raises ``LeaseLostError`` if gone."""
+        status, _ = await self._call("POST", f"kv-keep/{lease}")
+        if status == HTTP_NOT_FOUND:
+            raise LeaseLostError(f"lease {lease} has lapsed")
+
+    async def revoke_lease(self, lease: str) -> None:
+        """Ends a lease and deletes the keys written with it."""
+        await self._call("DELETE", f"kv-lease-end/{lease}")
+
+    async def _change(
+        self, key: str, expected: int, *, writes: list[Any], deletes: list[str]
+    ) -> int:
+        body = {
+            "precondition": [{"key": key, "revision": expected}],
+            "writes": writes,
+            "deletes": deletes,
+        }
+        status, answer = await self._call("POST", "kv-txn", body=body)
+        if status == HTTP_NOT_FOUND:
+            raise LeaseLostError(f"the lease of key {key!r} has lapsed")
+        if status == HTTP_PRECONDITION_FAILED:
+            raise StoreConflictError(key, expected, find_revision(answer, key))
+        return read_revision(answer, "revision")
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        params: Mapping[str, str] | None = None,
+        *,
+        body: dict[str, Any] | None = None,
+        extra_s: float = 0.0,
+    ) -> tuple[int, Any]:
+        timeout = aiohttp.ClientTimeout(
+            total=self._timeout_s + extra_s, sock_connect=self._timeout_s
+        )
+        try:
+            async with self._session.request(
+                method, self._url + path, params=params, json=body, timeout=timeout
+            ) as response:
+                text = await response.read()
+                status = response.status
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise StoreUnavailableError(f"{method} {path}: {error!r}") from error
+        if status >= HTTP_SERVER_ERROR or status == HTTP_TOO_MANY_REQUESTS:
+            raise StoreUnavailableError(f"{method} {path}: status {status}")
+        return check_answer(status, text, f"{method} {path}")
+
+
+def check_answer(status: int, text: bytes, call: str) -> tuple[int, Any]:
+    """Returns status and JSON object; raises ``StoreError`` if unusable."""
+    accepted = (HTTP_OK, HTTP_NOT_FOUND, HTTP_GONE, HTTP_PRECONDITION_FAILED)
+    if status not in accepted:
+        raise StoreError(f"{call}: status {status}: {text[:200]!r}")
+    if status != HTTP_OK and not text:
+        return status, {}
+    try:
+        answer = json.loads(text)
+    except ValueError as error:
+        raise StoreError(f"{call}: the answer is not JSON") from error
+    if not isinstance(answer, dict):
+        raise StoreError(f"{call}: the answer is not a JSON object")
+    return status, answer
+
+
+def read_revision(answer: Any, name: str) -> int:
+    """Returns a whole number of an answer; raises ``StoreError`` if malformed."""
+    value = answer.get(name)
+    if not isinstance(value, int):
+        raise StoreError(f"the store's answer has no {name!r}")
+    return value
+
+
+def read_values(answer: Any, name: str) -> tuple[StoredValue, ...]:
+    """Returns the items of an answer; raises ``StoreError`` if malformed."""
+    items = answer.get(name)
+    if not isinstance(items, list):
+        raise StoreError(f"the store's answer has no list {name!r}")
+    return tuple(map(read_value, items))
+
+
+def read_value(item: Any) -> StoredValue:
+    """Returns an item or a deletion; raises ``StoreError`` if malformed."""
+    try:
+        key, revision = str(item["key"]), int(item["revision"])
+        if item.get("deleted"):
+            return StoredValue(key, None, revision)
+        return StoredValue(key, base64.b64decode(item["value"]), revision)
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise StoreError(f"malformed item in the store's answer: {error!r}") from error
+
+
+def find_revision(answer: Any, key: str) -> int:
+    """Returns the current revision of a key that a condition names, 0 if absent."""
+    for value in read_values(answer, "items"):
+        if value.key == key and value.value is not None:
+            return value.revision
+    return 0
--- a/src/verbenacross/policy/parser.py
+++ b/src/verbenacross/policy/parser.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from ..documents.document import DocumentFaultError
 from ..settings import Finding
-from ..settings.document import DocumentFaultError
 from ..settings.typed_document import load_document
 from .exceptions import PolicyError
 from .policy import Policy
--- /dev/null
+++ b/src/verbenacross/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes from hosts and paths to services."""
--- a/src/verbenacross/settings/__init__.py
+++ b/src/verbenacross/settings/__init__.py
@@ -1,11 +1,11 @@
 """Typed JSON settings whose findings are reported together."""
 
-from .address import Address
+from ..documents.address import Address
+from ..documents.exceptions import SettingsError
+from ..documents.finding import Finding
 from .agent_settings import AgentSettings
 from .client_settings import ClientSettings
 from .entry_settings import EntrySettings
-from .exceptions import SettingsError
-from .finding import Finding
 from .loader import load_settings
 
 __all__ = [
--- a/src/verbenacross/settings/address.py
+++ b/src/verbenacross/settings/address.py
@@ -1,40 +1,12 @@
-"""An IP address with a port."""
+"""An IP address with a port as a typed field."""
 
 from __future__ import annotations
 
-import ipaddress
-from typing import Annotated, NamedTuple
+from typing import Annotated
 
 from pydantic import BeforeValidator
 
-MAX_PORT = 65_535
-
-
-class Address(NamedTuple):
-    """An IP address with a TCP port."""
-
-    host: str
-    port: int
-
-    @classmethod
-    def from_text(cls, text: str) -> Address:
-        """Returns the address in ``1.2.3.4:80`` or ``[::1]:80``.
-
-        Raises ``ValueError`` when the text is no IP address with a port.
-        """
-        host, separator, port = text.rpartition(":")
-        if not separator or not port.isascii() or not port.isdigit():
-            raise ValueError(f"address {text!r} is not of the form IP:PORT")
-        if int(port) > MAX_PORT:
-            raise ValueError(f"port {port} is above {MAX_PORT}")
-        bare = host.removeprefix("[").removesuffix("]")
-        ipaddress.ip_address(bare)
-        return cls(bare, int(port))
-
-    def __str__(self) -> str:
-        if ":" in self.host:
-            return f"[{self.host}]:{self.port}"
-        return f"{self.host}:{self.port}"
+from ..documents.address import Address
 
 
 def parse_address(value: object) -> object:
--- a/src/verbenacross/settings/agent_settings.py
+++ b/src/verbenacross/settings/agent_settings.py
@@ -6,7 +6,8 @@
 
 from pydantic import Field
 
-from .address import Address, AddressText
+from ..documents.address import Address
+from .address import AddressText
 from .listen_check import find_clashes, is_wildcard
 from .texts import HttpUrl, LogLevel
 from .typed_document import Conflict
--- a/src/verbenacross/settings/listen_check.py
+++ b/src/verbenacross/settings/listen_check.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping, Sequence
 
-    from .address import Address
+    from ..documents.address import Address
 
 
 def find_clashes(fields: Mapping[str, Any], names: Sequence[str]) -> Iterator[Conflict]:
--- a/src/verbenacross/settings/typed_document.py
+++ b/src/verbenacross/settings/typed_document.py
@@ -9,7 +9,7 @@
 
 from pydantic import TypeAdapter, ValidationError
 
-from .document import (
+from ..documents.document import (
     MAX_MESSAGE_CHARACTERS,
     DocumentFaultError,
     find_repeated_names,
@@ -17,7 +17,7 @@
     limit_findings,
     parse_document,
 )
-from .finding import Finding
+from ..documents.finding import Finding
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
--- a/src/verbenacross/transport/caller_protocol.py
+++ b/src/verbenacross/transport/caller_protocol.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import uuid
 from typing import TYPE_CHECKING
 
@@ -23,16 +24,25 @@
     431, "headers-too-large", "A line of the request is too long", Execution.NOT_RUN
 )
 INTERNAL = Refusal(
-    500, "internal-error", "The entry failed on this request", Execution.UNKNOWN
+    500, "internal-error", "The process failed on this request", Execution.UNKNOWN
 )
 
-logger = logbook.Logger("verbenacross.entry")
+logger = logbook.Logger("verbenacross.transport")
 
 
 class CallerProtocol(web.RequestHandler):
-    """Connection of a caller."""
+    """Connection of a caller.
 
-    __slots__ = ()
+    ``idle_since`` is the time of the event loop at which the last answer was out,
+    infinite while a request is handled.
+    """
+
+    __slots__ = ("idle_since",)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts to serve a new connection."""
+        self.idle_since = asyncio.get_running_loop().time()
+        super().connection_made(transport)
 
     def handle_error(
         self,
--- a/src/verbenacross/entry/drain.py
+++ b/src/verbenacross/transport/drain.py
@@ -1,4 +1,4 @@
-"""Requests in flight and the end of service of an entry."""
+"""Requests in flight and the end of service of a process."""
 
 from __future__ import annotations
 
--- a/src/verbenacross/transport/request_body.py
+++ b/src/verbenacross/transport/request_body.py
@@ -26,11 +26,12 @@
     again only while nothing of it was read.
     """
 
-    __slots__ = ("_buffered", "_request", "_started", "failed")
+    __slots__ = ("_buffered", "_prefix", "_request", "_started", "failed")
 
     def __init__(self, request: web.BaseRequest) -> None:
         self._request = request
         self._buffered: bytes | None = None
+        self._prefix = b""
         self._started = False
         self.failed = False
 
@@ -46,6 +47,29 @@
         except (RequestPayloadError, OSError) as error:
             raise CallerBodyError(repr(error)) from error
 
+    async def prepare_chunked(self, max_bytes: int) -> None:
+        """Reads a body of unknown length up to ``max_bytes``, to hold it if it ends.
+
+        Raises ``CallerBodyError`` if it is not whole.
+        """
+        request = self._request
+        if not request.body_exists or request.content_length is not None:
+            return
+        self._invite()
+        parts: list[bytes] = []
+        size = 0
+        try:
+            while size <= max_bytes:
+                part = await request.content.readany()
+                if not part and request.content.at_eof():
+                    self._buffered = b"".join(parts)
+                    return
+                parts.append(part)
+                size += len(part)
+        except (RequestPayloadError, OSError) as error:
+            raise CallerBodyError(repr(error)) from error
+        self._prefix = b"".join(parts)
+
     def build_payload(self) -> bytes | AsyncIterator[bytes] | None:
         """Returns what the HTTP client sends."""
         if self._buffered is not None:
@@ -62,6 +86,8 @@
         self._started = True
         self._invite()
         try:
+            if self._prefix:
+                yield self._prefix
             async for chunk in self._request.content.iter_any():
                 yield chunk
         except (RequestPayloadError, OSError) as error:
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -78,7 +78,7 @@
     """Guards against plain text of libraries, and against a level without effect."""
     code = (
         "import logging, warnings, logbook\n"
-        "from verbenacross.observability import configure_logs\n"
+        "from verbenacross.observability.logs import configure_logs\n"
         "configure_logs('INFO'); configure_logs('ERROR')\n"
         "logbook.Logger('a').info('hidden')\n"
         "logging.getLogger('asyncio').error('from a library')\n"
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from verbenacross.documents.document import DocumentFaultError
 from verbenacross.settings import (
     AgentSettings,
     ClientSettings,
@@ -13,7 +14,6 @@
     SettingsError,
     load_settings,
 )
-from verbenacross.settings.document import DocumentFaultError
 from verbenacross.settings.typed_document import load_document
 
 AGENT = {
