--- /dev/null
+++ b/measure/baseline_choosers.py
@@ -0,0 +1,101 @@
+"""Ways of choosing that the balancer is compared with."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from verbenacross.balancing.outcome import Answered
+from verbenacross.balancing.upstream_view import UpstreamView
+
+if TYPE_CHECKING:
+    from verbenacross.balancing.demand import Demand
+    from verbenacross.balancing.outcome import Outcome
+
+    from .service_model import ServiceModel
+
+
+class TwoByOwnCount:
+    """The less busy of two random upstreams, by own requests in flight."""
+
+    def __init__(self, model: ServiceModel, seed: int) -> None:
+        now = asyncio.get_running_loop().time()
+        self._views = [
+            UpstreamView(target.upstream, now) for target in model.upstreams.values()
+        ]
+        self._generator = random.Random(seed)
+
+    async def acquire(self, demand: Demand) -> UpstreamView:
+        """Returns an upstream."""
+        pair = self._generator.sample(self._views, 2)
+        view = min(pair, key=self.get_load)
+        view.in_flight += 1
+        return view
+
+    def release(self, view: UpstreamView, demand: Demand, outcome: Outcome) -> None:
+        """Gives an upstream back."""
+        view.in_flight -= 1
+        if isinstance(outcome, Answered):
+            view.report = outcome.report
+
+    @staticmethod
+    def get_load(view: UpstreamView) -> float:
+        """Returns what is compared."""
+        return view.in_flight
+
+
+class TwoByReportedLoad(TwoByOwnCount):
+    """The less busy of two random upstreams, by the load that answers carried."""
+
+    @staticmethod
+    def get_load(view: UpstreamView) -> float:
+        """Returns what is compared."""
+        report = view.report
+        reported = 0 if report is None else report.running + report.waiting
+        return view.in_flight + reported
+
+
+class CentralQueue:
+    """One queue in front of all upstreams that knows all at once.
+
+    Upstreams at their usual pace come first; a request waits for a free slot. No real
+    chooser can do that, since news takes time to travel.
+    """
+
+    def __init__(self, model: ServiceModel) -> None:
+        now = asyncio.get_running_loop().time()
+        self._model = model
+        self._views = {
+            identifier: UpstreamView(target.upstream, now)
+            for identifier, target in model.upstreams.items()
+        }
+        self._changed = asyncio.Condition()
+
+    async def acquire(self, demand: Demand) -> UpstreamView:
+        """Returns an upstream with a free slot."""
+        while True:
+            free = [
+                identifier
+                for identifier, target in self._model.upstreams.items()
+                if self._views[identifier].in_flight < target.shape.slots
+            ]
+            if free:
+                best = min(free, key=self._get_order)
+                self._views[best].in_flight += 1
+                return self._views[best]
+            async with self._changed:
+                await self._changed.wait()
+
+    def release(self, view: UpstreamView, demand: Demand, outcome: Outcome) -> None:
+        """Gives an upstream back."""
+        view.in_flight -= 1
+        asyncio.get_running_loop().create_task(self._tell())
+
+    async def _tell(self) -> None:
+        async with self._changed:
+            self._changed.notify()
+
+    def _get_order(self, identifier: str) -> tuple[float, int]:
+        slowness = self._model.upstreams[identifier].get_slowness()
+        return slowness, self._views[identifier].in_flight
--- /dev/null
+++ b/measure/service_callers.py
@@ -0,0 +1,194 @@
+"""Callers of a modelled service, through instances that each choose for themselves."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+from verbenacross.balancing.demand import Demand
+from verbenacross.balancing.exceptions import BalancingError
+from verbenacross.balancing.outcome import Abandoned, Answered, Failed, NotRun
+from verbenacross.balancing.service_balancer import ProbeAnswer, ServiceBalancer
+
+from .service_model import ModelFailedError, ModelRejectedError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from verbenacross.balancing.outcome import Outcome
+    from verbenacross.balancing.upstream import Upstream
+    from verbenacross.balancing.upstream_view import UpstreamView
+
+    from .service_model import ServiceModel
+
+PROBE_TIMEOUT_S = 0.12
+
+
+@dataclass(frozen=True)
+class CallShape:
+    """Requests of one kind; times are in seconds."""
+
+    work_s: float
+    target_s: float
+    deadline_s: float
+    long_share: float = 0.03
+    long_factor: float = 7.0
+    priority: int = 1
+
+
+@dataclass
+class Tally:
+    """What came of the requests."""
+
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    latencies: list[float] = field(default_factory=list)
+    refused_after: list[float] = field(default_factory=list)
+
+    @property
+    def total(self) -> int:
+        """All requests."""
+        return self.in_time + self.late + self.refused + self.failed
+
+    @property
+    def in_time_share(self) -> float:
+        """Share of requests answered within their target."""
+        return self.in_time / max(1, self.total)
+
+    def get_quantile(self, share: float) -> float:
+        """Returns a quantile of the latencies of answers, in seconds."""
+        ordered = sorted(self.latencies)
+        return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+class Chooser(Protocol):
+    """Gives requests their upstreams, as ``ServiceBalancer`` does."""
+
+    async def acquire(self, demand: Demand) -> UpstreamView:
+        """Returns an upstream; raises ``BalancingError``."""
+
+    def release(self, view: UpstreamView, demand: Demand, outcome: Outcome) -> None:
+        """Gives an upstream back."""
+
+
+class ModelProber:
+    """Asks modelled upstreams; implements ``Prober``."""
+
+    def __init__(self, model: ServiceModel) -> None:
+        self._model = model
+        self.sent = 0
+
+    async def probe(self, upstream: Upstream) -> ProbeAnswer | None:
+        """Returns the load after a round trip, ``None`` if the upstream is silent."""
+        self.sent += 1
+        await asyncio.sleep(self._model.shape.one_way_s)
+        target = self._model.upstreams.get(upstream.id)
+        if target is None or target.is_silent:
+            await asyncio.sleep(PROBE_TIMEOUT_S)
+            return None
+        report = target.report()
+        await asyncio.sleep(self._model.shape.one_way_s)
+        return ProbeAnswer(report, is_well=True)
+
+
+def build_balancer(
+    model: ServiceModel, instances: int, seed: int, probes_per_s: float = 60.0
+) -> ServiceBalancer:
+    """Returns the balancer of one instance among several."""
+    clock = asyncio.get_running_loop().time
+    balancer = ServiceBalancer(
+        "model", "a", ModelProber(model), random.Random(seed), clock
+    )
+    for target in model.upstreams.values():
+        balancer.set_upstream(target.upstream)
+    balancer.set_probe_rate(probes_per_s, instances)
+    return balancer
+
+
+class Callers:
+    """Open-loop callers of a modelled service."""
+
+    def __init__(
+        self, model: ServiceModel, choosers: list[Chooser], seed: int
+    ) -> None:
+        self._model = model
+        self._choosers = choosers
+        self._generator = random.Random(seed)
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(
+        self,
+        call: CallShape,
+        rate: Callable[[float], float],
+        length_s: float,
+        tally: Tally,
+    ) -> None:
+        """Sends requests for a time and waits for their ends."""
+        end = self._loop.time() + length_s
+        started = self._loop.time()
+        while self._loop.time() < end:
+            now_rate = rate(self._loop.time() - started)
+            await asyncio.sleep(self._generator.expovariate(now_rate))
+            chooser = self._generator.choice(self._choosers)
+            task = asyncio.create_task(self._call(call, chooser, tally))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def _call(self, call: CallShape, chooser: Chooser, tally: Tally) -> None:
+        now = self._loop.time()
+        is_long = self._generator.random() < call.long_share
+        work_s = call.work_s * self._generator.lognormvariate(0, 0.3)
+        work_s *= call.long_factor if is_long else 1.0
+        demand = Demand(
+            request_id="",
+            kind=f"work-{call.work_s}",
+            priority=call.priority,
+            arrived=now,
+            target_at=now + call.target_s,
+            deadline=now + call.deadline_s,
+        )
+        try:
+            async with asyncio.timeout_at(demand.deadline):
+                succeeded = await self._attempt(demand, chooser, work_s)
+        except BalancingError:
+            tally.refused += 1
+            tally.refused_after.append(self._loop.time() - now)
+            return
+        except TimeoutError:
+            succeeded = False
+        latency_s = self._loop.time() - now
+        if not succeeded:
+            tally.failed += 1
+            return
+        tally.latencies.append(latency_s)
+        if latency_s <= call.target_s:
+            tally.in_time += 1
+        else:
+            tally.late += 1
+
+    async def _attempt(self, demand: Demand, chooser: Chooser, work_s: float) -> bool:
+        view = await chooser.acquire(demand)
+        started = self._loop.time()
+        outcome: Outcome = Abandoned()
+        try:
+            await asyncio.sleep(self._model.shape.one_way_s)
+            target = self._model.upstreams[view.upstream.id]
+            report = await target.serve(work_s)
+            await asyncio.sleep(self._model.shape.one_way_s)
+            outcome = Answered(self._loop.time() - started, report)
+            return True
+        except ModelFailedError:
+            outcome = Failed("modelled failure")
+            return False
+        except ModelRejectedError:
+            outcome = NotRun(None)
+            return False
+        finally:
+            chooser.release(view, demand, outcome)
--- /dev/null
+++ b/measure/service_model.py
@@ -0,0 +1,144 @@
+"""Model of a service: slots, queues, noisy neighbours, cold starts and crashes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from verbenacross.balancing.load_report import LoadReport
+from verbenacross.balancing.upstream import Upstream
+
+
+class ServiceShape(NamedTuple):
+    """Shape of a modelled service; times are in seconds.
+
+    A ``noisy_share`` of the upstreams takes ``noisy_slowdown`` times as long; which ones
+    changes every ``noise_period_s``. Above ``knee_share`` of its slots an upstream takes
+    ``knee_slowdown`` times as long.
+    """
+
+    upstreams: int
+    slots: int = 6
+    queue: int = 12
+    noisy_share: float = 0.35
+    noisy_slowdown: float = 7.0
+    noise_period_s: float = 0.5
+    knee_share: float = 0.8
+    knee_slowdown: float = 1.7
+    one_way_s: float = 0.0015
+
+
+class ModelRejectedError(Exception):
+    """The modelled upstream is full and did not run the request."""
+
+
+class ModelFailedError(Exception):
+    """The modelled upstream failed the request."""
+
+
+@dataclass
+class ModelUpstream:
+    """One modelled upstream."""
+
+    upstream: Upstream
+    shape: ServiceShape
+    generator: random.Random
+    running: int = 0
+    slowdown: float = 1.0
+    # Share of requests that fail at once though the health path is good.
+    failing_share: float = 0.0
+    is_silent: bool = False
+
+    def __post_init__(self) -> None:
+        self._waiting: deque[asyncio.Future[None]] = deque()
+        self._noise_phase = self.generator.random() * self.shape.noise_period_s
+        self._noise_seed = self.generator.getrandbits(32)
+        self.runs = 0
+
+    def get_slowness(self) -> float:
+        """Returns how long work takes now, 1.0 meaning as usual."""
+        now = asyncio.get_running_loop().time()
+        period = int((now + self._noise_phase) / self.shape.noise_period_s)
+        noise = random.Random(self._noise_seed * 1_000_003 + period).random()
+        noisy = noise < self.shape.noisy_share
+        return self.slowdown * (self.shape.noisy_slowdown if noisy else 1.0)
+
+    def report(self) -> LoadReport:
+        """Returns the load at this moment."""
+        return LoadReport(
+            self.running, len(self._waiting), self.shape.slots, self.get_slowness()
+        )
+
+    async def serve(self, work_s: float) -> LoadReport:
+        """Runs a request; raises ``ModelRejectedError`` or ``ModelFailedError``."""
+        if self.is_silent:
+            await asyncio.Event().wait()
+        if self.generator.random() < self.failing_share:
+            self.runs += 1
+            raise ModelFailedError
+        if self.running >= self.shape.slots:
+            await self._wait_for_slot()
+        else:
+            self.running += 1
+        try:
+            self.runs += 1
+            crowded = self.running > self.shape.knee_share * self.shape.slots
+            slowdown = self.shape.knee_slowdown if crowded else 1.0
+            await asyncio.sleep(work_s * self.get_slowness() * slowdown)
+            return self.report()
+        finally:
+            self._free_slot()
+
+    async def _wait_for_slot(self) -> None:
+        if len(self._waiting) >= self.shape.queue:
+            raise ModelRejectedError
+        turn = asyncio.get_running_loop().create_future()
+        self._waiting.append(turn)
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self._free_slot()
+            elif turn in self._waiting:
+                self._waiting.remove(turn)
+            raise
+
+    def _free_slot(self) -> None:
+        while self._waiting:
+            turn = self._waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.running -= 1
+
+
+class ServiceModel:
+    """The modelled upstreams of one service."""
+
+    def __init__(self, shape: ServiceShape, seed: int) -> None:
+        self.shape = shape
+        self.generator = random.Random(seed)
+        self.upstreams: dict[str, ModelUpstream] = {}
+        for number in range(shape.upstreams):
+            self.add(f"u{number}")
+
+    def add(self, identifier: str, cold_s: float = 0.0) -> ModelUpstream:
+        """Adds an upstream that has just started."""
+        upstream = Upstream(
+            id=identifier,
+            service="model",
+            address=f"10.0.0.{len(self.upstreams)}:80",
+            failure_domain="a",
+            slots=self.shape.slots,
+            draining=False,
+            cold_s=cold_s,
+            started_ms=0,
+        )
+        model = ModelUpstream(
+            upstream, self.shape, random.Random(self.generator.getrandbits(64))
+        )
+        self.upstreams[identifier] = model
+        return model
--- a/src/verbenacross/infrastructure/http_instance_list.py
+++ b/src/verbenacross/infrastructure/http_instance_list.py
@@ -1,4 +1,4 @@
-"""Instance list of the platform over HTTP with JSON, see docs/platform.md."""
+"""Instance list of the platform over HTTP with JSON, see docs/infrastructure.md."""
 
 from __future__ import annotations
 
--- a/src/verbenacross/infrastructure/http_key_value_store.py
+++ b/src/verbenacross/infrastructure/http_key_value_store.py
@@ -1,4 +1,4 @@
-"""Key-value store of the platform over HTTP with JSON, see docs/platform.md."""
+"""Key-value store of the platform over HTTP with JSON, see docs/infrastructure.md."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/tests/balancing/patterns.py
@@ -0,0 +1,63 @@
+"""Runs load patterns on the model of a service, on virtual time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from measure.baseline_choosers import CentralQueue, TwoByOwnCount, TwoByReportedLoad
+from measure.service_callers import Callers, CallShape, Tally, build_balancer
+from measure.service_model import ServiceModel, ServiceShape
+from measure.virtual_loop import run_virtual
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Literal
+
+    from measure.service_callers import Chooser
+
+    ChooserName = Literal["balancer", "own-count", "reported-load", "central"]
+
+INSTANCES = 13
+SHORT_CALL = CallShape(work_s=0.076, target_s=0.25, deadline_s=0.8)
+
+
+def build_choosers(
+    name: ChooserName, model: ServiceModel, seed: int
+) -> list[Chooser]:
+    """Returns the choosers of all instances."""
+    match name:
+        case "balancer":
+            return [
+                build_balancer(model, INSTANCES, seed * 100 + number)
+                for number in range(INSTANCES)
+            ]
+        case "own-count":
+            return [TwoByOwnCount(model, number) for number in range(INSTANCES)]
+        case "reported-load":
+            return [TwoByReportedLoad(model, number) for number in range(INSTANCES)]
+        case "central":
+            return [CentralQueue(model)]
+
+
+def play(
+    name: ChooserName,
+    rate: Callable[[float], float],
+    *,
+    seed: int,
+    length_s: float = 10.0,
+    shape: ServiceShape | None = None,
+    call: CallShape = SHORT_CALL,
+    prepare: Callable[[ServiceModel], None] | None = None,
+) -> Tally:
+    """Plays a load pattern and returns what came of the requests."""
+
+    async def work() -> Tally:
+        model = ServiceModel(shape or ServiceShape(upstreams=15), seed)
+        if prepare is not None:
+            prepare(model)
+        tally = Tally()
+        callers = Callers(model, build_choosers(name, model, seed), seed)
+        await callers.run(call, rate, length_s, tally)
+        return tally
+
+    return run_virtual(work())
