Let one instance of each failure domain read the store and the rest subscribe

Change: package feed/ (record log, store reader, publisher, subscription, synchronizer); a registration with a lease gives members and their number.

--- a/measure/service_callers.py
+++ b/measure/service_callers.py
@@ -112,9 +112,7 @@
 class Callers:
     """Open-loop callers of a modelled service."""
 
-    def __init__(
-        self, model: ServiceModel, choosers: list[Chooser], seed: int
-    ) -> None:
+    def __init__(self, model: ServiceModel, choosers: list[Chooser], seed: int) -> None:
         self._model = model
         self._choosers = choosers
         self._generator = random.Random(seed)
--- a/measure/service_model.py
+++ b/measure/service_model.py
@@ -15,9 +15,9 @@
 class ServiceShape(NamedTuple):
     """Shape of a modelled service; times are in seconds.
 
-    A ``noisy_share`` of the upstreams takes ``noisy_slowdown`` times as long; which ones
-    changes every ``noise_period_s``. Above ``knee_share`` of its slots an upstream takes
-    ``knee_slowdown`` times as long.
+    A ``noisy_share`` of the upstreams takes ``noisy_slowdown`` times as long; which
+    ones changes every ``noise_period_s``. Above ``knee_share`` of its slots an upstream
+    takes ``knee_slowdown`` times as long.
     """
 
     upstreams: int
--- a/measure/virtual_loop.py
+++ b/measure/virtual_loop.py
@@ -12,7 +12,7 @@
 Returned = TypeVar("Returned")
 
 
-class TimeSkippingSelector(selectors.DefaultSelector):  # type: ignore[misc,valid-type]
+class TimeSkippingSelector(selectors.DefaultSelector):
     """Selector that advances a clock instead of waiting."""
 
     def __init__(self) -> None:
--- /dev/null
+++ b/src/verbenacross/feed/store_reader.py
@@ -0,0 +1,129 @@
+"""Reads the store's records once and then watches what changes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING
+
+import logbook
+
+from ..infrastructure.exceptions import HistoryLostError, StoreError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..infrastructure.key_value_store import CheckedStore
+    from .record_log import RecordLog
+
+# Each wait is one priced call. It also bounds how long a connection that has gone
+# silent stays unnoticed.
+WATCH_WAIT_MS = 3_000
+# Pause after a change, so that changes in quick succession share a call, in seconds.
+GATHER_S = 0.15
+# A check is a tenth of a call and runs when nothing was heard for so long, in seconds.
+CHECK_INTERVAL_S = 0.5
+# After this silence, subscribers are told to look elsewhere, in seconds.
+FRESH_S = 1.0
+# First pause after a failed call and the longest, in seconds.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.8
+SOURCE = "store"
+
+logger = logbook.Logger("verbenacross.feed.store_reader")
+
+
+class StoreReader:
+    """Reads the store's records once and then watches what changes."""
+
+    def __init__(self, store: CheckedStore, prefix: str, log: RecordLog) -> None:
+        self.calls = 0
+        self.checks = 0
+        self.is_connected = False
+        self._last_contact = -FRESH_S
+        self._store = store
+        self._prefix = prefix
+        self._log = log
+        self._lost_at = 0.0
+        # Called when the store is reached again, before its records are taken.
+        self.on_contact: Callable[[], None] = lambda: None
+
+    def is_fresh(self) -> bool:
+        """Returns whether the store was heard of just now."""
+        return time.monotonic() - self._last_contact < FRESH_S
+
+    async def run(self) -> None:
+        """Reads and watches until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._follow())
+                group.create_task(self._check())
+        finally:
+            self._last_contact = -FRESH_S
+            self.is_connected = False
+
+    async def _follow(self) -> None:
+        pause_s = FIRST_PAUSE_S
+        revision = self._log.revision
+        while True:
+            try:
+                if revision == 0:
+                    revision = await self._read_all()
+                else:
+                    revision = await self._watch(revision)
+                pause_s = FIRST_PAUSE_S
+            except HistoryLostError as error:
+                logger.info("store history lost, reading all", extra={"at": str(error)})
+                revision = 0
+            except StoreError as error:
+                self._note_loss(error)
+                await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
+                pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
+
+    async def _read_all(self) -> int:
+        self.calls += 1
+        snapshot = await self._store.read_prefix(self._prefix)
+        self._note_contact()
+        self._log.take(snapshot.values, snapshot.revision, SOURCE, is_complete=True)
+        return snapshot.revision
+
+    async def _watch(self, revision: int) -> int:
+        self.calls += 1
+        snapshot = await self._store.watch(self._prefix, revision, WATCH_WAIT_MS)
+        self._note_contact()
+        self._log.take(snapshot.values, snapshot.revision, SOURCE, is_complete=False)
+        if snapshot.values:
+            await asyncio.sleep(GATHER_S)
+        return snapshot.revision
+
+    async def _check(self) -> None:
+        """Notices within ``FRESH_S`` that the store cannot be reached any more."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            silent_s = time.monotonic() - self._last_contact
+            if silent_s < CHECK_INTERVAL_S or not self.is_connected:
+                continue
+            self.checks += 1
+            try:
+                await self._store.check()
+                self._last_contact = time.monotonic()
+            except StoreError as error:
+                self._note_loss(error)
+
+    def _note_contact(self) -> None:
+        if not self.is_connected:
+            self.on_contact()
+        self._last_contact = time.monotonic()
+        if self.is_connected:
+            return
+        self.is_connected = True
+        away_s = time.monotonic() - self._lost_at if self._lost_at else 0.0
+        logger.info("store reached", extra={"away_s": round(away_s, 3)})
+
+    def _note_loss(self, error: StoreError) -> None:
+        if not self.is_connected:
+            return
+        self.is_connected = False
+        self._lost_at = time.monotonic()
+        logger.warning("store lost", extra={"reason": str(error)})
--- a/src/verbenacross/infrastructure/key_value_store.py
+++ b/src/verbenacross/infrastructure/key_value_store.py
@@ -64,3 +64,10 @@
 
     async def revoke_lease(self, lease: str) -> None:
         """Ends a lease and deletes the keys written with it."""
+
+
+class CheckedStore(KeyValueStore, Protocol):
+    """A store that can cheaply tell whether it is reached."""
+
+    async def check(self) -> None:
+        """Returns if the store answers; raises ``StoreUnavailableError`` if not."""
--- a/src/verbenacross/node/balancers.py
+++ b/src/verbenacross/node/balancers.py
@@ -31,7 +31,7 @@
         self._allowances: dict[str, RetryAllowance] = {}
         self._services: dict[str, str] = {}
         knowledge.upstreams.subscribe(self._update_upstream)
-        knowledge.members.subscribe(self._update_members)
+        knowledge.member_counts.subscribe(self._update_members)
 
     def get(self, service: str) -> ServiceBalancer:
         """Returns the balancer of a service."""
--- a/src/verbenacross/node/knowledge.py
+++ b/src/verbenacross/node/knowledge.py
@@ -9,6 +9,8 @@
 import logbook
 from reactivex.subject import Subject
 
+from ..feed.exceptions import FeedError
+from ..feed.members import Member
 from .changes import (
     ConfigurationChange,
     NodeChange,
@@ -39,20 +41,18 @@
     """What this instance believes, by the revisions of the store.
 
     ``configurations`` emits each route table that comes into force, ``upstreams`` the
-    id of each upstream whose entry changed, ``members`` the number of instances.
+    id of each upstream whose entry changed, ``member_counts`` the number of instances.
     Changes may arrive more than once and in any order; older ones are ignored.
     """
 
     def __init__(self) -> None:
         self.table: RouteTable | None = None
         self.entries: dict[str, UpstreamEntry] = {}
-        self.nodes: dict[str, tuple[int, bytes]] = {}
-        self.revision = 0
+        self.members: dict[str, Member] = {}
         self.known = asyncio.Event()
         self.configurations: Subject[RouteTable] = Subject()
         self.upstreams: Subject[str] = Subject()
-        self.members: Subject[int] = Subject()
-        self._node_revisions: dict[str, int] = {}
+        self.member_counts: Subject[int] = Subject()
         self._refused_revision = 0
         self._suspects_until = 0.0
 
@@ -79,12 +79,6 @@
         if self.is_complete():
             self.known.set()
 
-    def remove_missing(self, present: set[str], revision: int, source: str) -> None:
-        """Removes upstreams that a complete snapshot of a revision does not hold."""
-        for identifier, entry in list(self.entries.items()):
-            if identifier not in present and entry.revision <= revision:
-                self._apply_upstream(UpstreamChange(identifier, revision, None), source)
-
     def expect_returns(self) -> None:
         """Holds removed upstreams back as suspects while their entries may return."""
         self._suspects_until = time.monotonic() + RETURN_S
@@ -101,13 +95,12 @@
     def describe(self) -> dict[str, Any]:
         """Returns the state as a JSON object."""
         return {
-            "revision": self.revision,
             "version": self.table.version if self.table else None,
             "upstreams": {
                 identifier: entry._asdict()
                 for identifier, entry in self.entries.items()
             },
-            "nodes": sorted(self.nodes),
+            "members": sorted(self.members),
         }
 
     def _apply_configuration(self, change: ConfigurationChange, source: str) -> None:
@@ -176,11 +169,22 @@
         self.upstreams.on_next(identifier)
 
     def _apply_node(self, change: NodeChange) -> None:
-        if change.revision <= self._node_revisions.get(change.instance, 0):
-            return
-        self._node_revisions[change.instance] = change.revision
         if change.data is None:
-            self.nodes.pop(change.instance, None)
+            self.members.pop(change.instance, None)
         else:
-            self.nodes[change.instance] = (change.revision, change.data)
-        self.members.on_next(len(self.nodes))
+            try:
+                member = Member.from_data(change.instance, change.data)
+            except FeedError as error:
+                logger.warning("member cannot be used", extra={"reason": str(error)})
+                return
+            self.members[change.instance] = member
+        logger.info(
+            "members changed",
+            extra={
+                "instance": change.instance,
+                "revision": change.revision,
+                "is_present": change.data is not None,
+                "members": len(self.members),
+            },
+        )
+        self.member_counts.on_next(len(self.members))
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -13,7 +13,12 @@
 import logbook
 from aiohttp import web
 
-from ..platform.records import WATCHED_PREFIX, read_change
+from ..feed.members import Member
+from ..feed.publisher import Publisher
+from ..feed.record_log import RecordLog
+from ..feed.store_reader import StoreReader
+from ..feed.synchronizer import Synchronizer
+from ..platform.records import NODE_PREFIX, WATCHED_PREFIX, read_change
 from ..platform.store import PlatformStore
 from ..routes.destination_choice import DestinationChoice
 from ..transport.caller_server import CallerServer
@@ -22,15 +27,16 @@
 from .caller_connections import CallerConnections
 from .knowledge import Knowledge
 from .node_metrics import NodeMetrics
+from .registration import Registration
 from .request_handler import RequestHandler
 from .shutdown import Shutdown
 from .side_servers import serve_metrics, serve_readiness
-from .store_feed import StoreFeed
 from .upstream_prober import UpstreamProber
 
 if TYPE_CHECKING:
     from aioprometheus import Registry
 
+    from ..feed.record_log import RecordBatch
     from ..routes.route_table import RouteTable
     from .settings import NodeSettings
 
@@ -57,7 +63,23 @@
         self.shutdown = Shutdown(settings)
         self.connections = CallerConnections()
         store = PlatformStore(sessions.store, settings.store, STORE_TIMEOUT_S)
-        self.feed = StoreFeed(store, WATCHED_PREFIX, read_change, self.knowledge)
+        self.log = RecordLog()
+        self.log.batches.subscribe(self._take_batch)
+        self.reader = StoreReader(store, WATCHED_PREFIX, self.log)
+        self.publisher = Publisher(self.log, self.reader.is_fresh)
+        own = Member(
+            settings.instance, str(settings.peer_listen), settings.failure_domain
+        )
+        self.registration = Registration(store, self.log, NODE_PREFIX, own)
+        self.synchronizer = Synchronizer(
+            own,
+            settings.seeds,
+            self.reader,
+            self.publisher,
+            self.log,
+            lambda: list(self.knowledge.members.values()),
+            self.knowledge.expect_returns,
+        )
         prober = UpstreamProber(sessions.probes, self._find_health_path)
         self.balancers = Balancers(settings, self.knowledge, prober)
         self.handler = RequestHandler(
@@ -103,8 +125,14 @@
         await web.TCPSite(
             runner, address.host, address.port, backlog=LISTEN_BACKLOG
         ).start()
-        for work in (self.feed.run(), self.connections.run(server)):
+        await self.publisher.listen(stack, settings.peer_listen)
+        for work in (
+            self.synchronizer.run(),
+            self.registration.run(),
+            self.connections.run(server),
+        ):
             stack.callback(asyncio.create_task(work).cancel)
+        stack.push_async_callback(self.registration.close)
         logger.info("started", extra={"listen": str(address)})
         await self.shutdown.wait()
 
@@ -118,7 +146,9 @@
             "instance": self.settings.instance,
             "ready": self.is_ready(),
             "in_flight": self.shutdown.drain.in_flight,
-            "store_connected": self.feed.is_connected,
+            "store_connected": self.reader.is_connected,
+            "is_fresh": self.synchronizer.is_fresh(),
+            "revision": self.log.revision,
             "knowledge": self.knowledge.describe(),
             "services": self.balancers.describe(),
         }
@@ -129,8 +159,11 @@
         for name, value in (
             ("ready", self.is_ready()),
             ("in_flight", self.shutdown.drain.in_flight),
-            ("store_connected", self.feed.is_connected),
-            ("store_calls", self.feed.calls),
+            ("store_connected", self.reader.is_connected),
+            ("store_reads", self.reader.calls),
+            ("store_checks", self.reader.checks),
+            ("subscribers", self.publisher.subscribers),
+            ("is_fresh", self.synchronizer.is_fresh()),
             ("configuration_version", table.version if table else 0),
             ("instances", self.balancers.instances),
             ("waiting", self.balancers.count_waiting()),
@@ -139,6 +172,12 @@
             self.metrics.gauges.set({"name": name}, float(value))
         return self.metrics.registry
 
+    def _take_batch(self, batch: RecordBatch) -> None:
+        for record in batch.records:
+            change = read_change(record)
+            if change is not None:
+                self.knowledge.apply(change, batch.source)
+
     def _take_table(self, table: RouteTable) -> None:
         self.connections.idle_timeout_s = table.limits.idle_timeout_s
 
--- a/src/verbenacross/platform/store.py
+++ b/src/verbenacross/platform/store.py
@@ -28,12 +28,16 @@
 HTTP_TOO_MANY_REQUESTS = 429
 HTTP_SERVER_ERROR = 500
 MS_PER_S = 1_000
+# A check must end well before the bounds on news of the store.
+CHECK_TIMEOUT_S = 0.4
+# A short key that needs not exist.
+CHECKED_KEY = "verbenacross/check"
 # The platform's longest wait of a watch.
 MAX_WAIT_MS = 30_000
 
 
 class PlatformStore:
-    """The platform's key-value store; implements ``KeyValueStore``.
+    """The platform's key-value store; implements ``CheckedStore``.
 
     Every call ends within ``timeout_s``, a watch within that and its wait, so that a
     connection that has gone silent is found and replaced.
@@ -115,6 +119,15 @@
         """Ends a lease and deletes the keys written with it."""
         await self._call("DELETE", f"kv-lease-end/{lease}")
 
+    async def check(self) -> None:
+        """Returns if the store answers, at a tenth of a call's price.
+
+        Raises ``StoreUnavailableError`` if it does not within ``CHECK_TIMEOUT_S``.
+        """
+        params = {"key": CHECKED_KEY, "allow_stale": "1"}
+        extra_s = CHECK_TIMEOUT_S - self._timeout_s
+        await self._call("GET", "kv-key", params, extra_s=extra_s)
+
     async def _change(
         self, key: str, expected: int, *, writes: list[Any], deletes: list[str]
     ) -> int:
--- a/tests/balancing/patterns.py
+++ b/tests/balancing/patterns.py
@@ -21,9 +21,7 @@
 SHORT_CALL = CallShape(work_s=0.076, target_s=0.25, deadline_s=0.8)
 
 
-def build_choosers(
-    name: ChooserName, model: ServiceModel, seed: int
-) -> list[Chooser]:
+def build_choosers(name: ChooserName, model: ServiceModel, seed: int) -> list[Chooser]:
     """Returns the choosers of all instances."""
     match name:
         case "balancer":
