Keep upstreams at their best load, spread equal choices, probe those that are left

Cause 2: an answer's load counts the request itself, and was dated to the request's start, so a slot that had just become free looked taken. Cause 3: when probes were short, the only one went to the same upstream, even one that the request had already tried (a second attempt then found none for two seconds: 502; seen as the failure of test_safe_request_is_repeated_elsewhere beside load). Cause 4: equal estimates always chose the first upstream. Cause 5: the record log took a record older than its revision (found by its state machine). Change: slots above four of six only while at most three requests wait; a freed slot is handed over at once; probes go to upstreams that a waiting request may use, in random order; load breaks ties; start-up without the system's certificates; a bound on requests in flight and caller connections.

--- a/measure/service_callers.py
+++ b/measure/service_callers.py
@@ -116,6 +116,8 @@
         self._model = model
         self._choosers = choosers
         self._generator = random.Random(seed)
+        # The balancer in front hashes callers, so instances get uneven shares.
+        self._shares = [self._generator.uniform(0.3, 1.7) for _ in choosers]
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -132,7 +134,7 @@
         while self._loop.time() < end:
             now_rate = rate(self._loop.time() - started)
             await asyncio.sleep(self._generator.expovariate(now_rate))
-            chooser = self._generator.choice(self._choosers)
+            chooser = self._generator.choices(self._choosers, self._shares)[0]
             task = asyncio.create_task(self._call(call, chooser, tally))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
--- a/measure/service_model.py
+++ b/measure/service_model.py
@@ -88,9 +88,9 @@
             crowded = self.running > self.shape.knee_share * self.shape.slots
             slowdown = self.shape.knee_slowdown if crowded else 1.0
             await asyncio.sleep(work_s * self.get_slowness() * slowdown)
-            return self.report()
         finally:
             self._free_slot()
+        return self.report()
 
     async def _wait_for_slot(self) -> None:
         if len(self._waiting) >= self.shape.queue:
--- a/src/verbenacross/balancing/finish_estimate.py
+++ b/src/verbenacross/balancing/finish_estimate.py
@@ -7,11 +7,19 @@
 if TYPE_CHECKING:
     from .upstream_view import UpstreamView
 
-# Share of slots in use above which upstreams slow down, and by how much when full.
+# Share of slots in use above which upstreams slow down, and by how much. Five of six
+# slots do less work than four then.
 CROWDED_SHARE = 0.8
 CROWDED_SLOWDOWN = 1.7
+# Weight of slots in use, so that work spreads over upstreams that are equally fast.
+LOAD_WEIGHT = 0.2
 # An upstream that has just started is about this much slower.
 COLD_SLOWDOWN = 2.0
+# Growth of an estimate with the age of its report: machines change their pace about
+# every half second.
+DOUBT_PER_S = 2.5
+# Above this age, another request has likely arrived since, in seconds.
+RECENT_S = 0.06
 # Weight of failures: one that fails always looks this much busier, plus one.
 FAILURE_WEIGHT = 4.0
 # An upstream that calls itself ill though its answers are good may still be so.
@@ -21,10 +29,19 @@
 
 
 class Estimate(NamedTuple):
-    """When a request would end, in seconds from now, and who waits before it."""
+    """When a request would end, in seconds from now.
+
+    ``excess`` is by how many requests the upstream would be above the load at which it
+    does most work.
+    """
 
     finish_s: float
-    ahead: int
+    excess: int
+
+
+def count_useful_slots(slots: int) -> int:
+    """Returns how many slots may be in use before an upstream slows down."""
+    return max(1, int(CROWDED_SHARE * slots))
 
 
 def estimate_finish(
@@ -33,20 +50,27 @@
     """Returns when an upstream would finish a request of the given work."""
     upstream = view.upstream
     report = view.report
+    doubt = 1.0
     if report is None:
         slots, busy, slowness = upstream.slots, view.in_flight, 1.0
     else:
         slots = max(1, report.slots)
         busy = report.running + report.waiting + view.count_unreported(now)
         slowness = report.slowness
+        age_s = now - view.reported_at
+        doubt += DOUBT_PER_S * age_s
+        if age_s > RECENT_S:
+            busy = max(busy + 1, view.in_flight)
     if now < view.cold_until:
         slowness *= COLD_SLOWDOWN
-    if (busy + 1) / slots > CROWDED_SHARE:
+    excess = max(0, busy + 1 - count_useful_slots(slots))
+    if excess:
         slowness *= CROWDED_SLOWDOWN
     ahead = max(0, busy + 1 - slots)
-    finish_s = work_s * slowness * (1 + ahead / slots)
+    finish_s = work_s * slowness * (1 + (ahead + LOAD_WEIGHT * busy) / slots)
+    finish_s *= doubt
     if upstream.failure_domain != failure_domain:
         finish_s += REMOTE_DELAY_S
     if view.is_ill:
         finish_s *= ILL_SLOWDOWN
-    return Estimate(finish_s * (1 + FAILURE_WEIGHT * view.failure_rate), ahead)
+    return Estimate(finish_s * (1 + FAILURE_WEIGHT * view.failure_rate), excess)
--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -11,7 +11,7 @@
 
 from .ejection import is_on_trial, note_failure, note_success
 from .exceptions import BalancingError, DeadlineUnreachableError, NoUpstreamError
-from .finish_estimate import Estimate, estimate_finish
+from .finish_estimate import Estimate, count_useful_slots, estimate_finish
 from .load_report import LoadReport
 from .outcome import Abandoned, Answered, Failed, NotRun, Unreachable
 from .token_bucket import TokenBucket
@@ -27,25 +27,26 @@
 
 # How long a round of probes is waited for; a round trip takes about 5 ms.
 PROBE_WAIT_S = 0.010
+# How old a report is on arrival; a round trip takes about 5 ms.
+REPORT_AGE_S = 0.004
 # Reports younger than this need no new probe, in seconds.
 FRESH_S = 0.008
-# Reports older than this say little of a machine whose load shifts many times a second.
-USABLE_S = 0.060
+# Reports up to this age are used, older ones with growing doubt.
+USABLE_S = 0.250
 # A report this old still tells which upstreams are worth a probe.
 HINT_S = 0.350
 # Oldest report that is used when probes are not to be had.
 STALE_S = 3.0
-PROBES_PER_ROUND = 4
+PROBES_PER_ROUND = 3
 MAX_PROBES_PER_ROUND = 12
-PROBE_BURST_S = 1.0
+# Quiet seconds whose probes may be used at a crest.
+PROBE_BURST_S = 4.0
 # Part of the probe budget that is used; the rest covers changes of membership.
 PROBE_SHARE = 0.85
+# Waiting requests above which upstreams are kept at their best load.
+MAX_CROWDING_WAITERS = 3
 # Pause between two rounds while requests wait.
 ROUND_PAUSE_S = 0.008
-# Requests that may wait at an upstream for its next free slot, per slot.
-AHEAD_PER_SLOT = 0.35
-# How long a better upstream is looked for, as a share of the time to the target.
-SEARCH_SHARE = 0.12
 # A finish within this share of the time to the target is good enough.
 COMFORT_SHARE = 0.85
 # Share of upstreams below which suspect or ejected ones are used as well.
@@ -105,7 +106,7 @@
         self.service = service
         self.views: dict[str, UpstreamView] = {}
         self.work = WorkEstimator()
-        self.probes = TokenBucket(0.0, PROBE_BURST_S, clock())
+        self.probes = TokenBucket(PROBE_BURST_S, clock())
         self.probes_sent = 0
         self.refused = 0
         self._failure_domain = failure_domain
@@ -138,7 +139,7 @@
     def set_probe_rate(self, per_upstream: float, instances: int) -> None:
         """Sets the budget: probes a second on each upstream by all instances."""
         share = per_upstream * PROBE_SHARE / max(1, instances)
-        self.probes.rate = share * len(self.views)
+        self.probes.set_rate(share * len(self.views))
 
     async def acquire(self, demand: Demand) -> UpstreamView:
         """Returns an upstream for an attempt; raises ``BalancingError``."""
@@ -156,18 +157,34 @@
             self._withdraw(waiter)
             raise
 
+    def has_other(self, demand: Demand, view: UpstreamView) -> bool:
+        """Returns whether a request could go to another upstream than this one."""
+        return any(
+            self._is_possible(other, demand)
+            for other in self.views.values()
+            if other is not view
+        )
+
     def release(self, view: UpstreamView, demand: Demand, outcome: Outcome) -> None:
         """Gives an upstream back with what the attempt showed."""
         now = self._clock()
         view.in_flight -= 1
-        self._wake.set()
+        self._take_outcome(view, demand, outcome, now)
+        if self._waiters:
+            # The slot that is free now is known to nobody else yet.
+            self._assign()
+            self._wake.set()
+
+    def _take_outcome(
+        self, view: UpstreamView, demand: Demand, outcome: Outcome, now: float
+    ) -> None:
         match outcome:
             case Answered(latency_s, report):
                 slowness = view.report.slowness if view.report else 1.0
                 self.work.add(demand.kind, latency_s, slowness)
                 note_success(view, now)
                 if report is not None:
-                    view.take_report(report, now - latency_s, now)
+                    view.take_report(report, now - REPORT_AGE_S, now)
             case NotRun(report):
                 self._take_shed(view, report, now)
             case Failed(reason):
@@ -255,8 +272,7 @@
             view.probe = asyncio.create_task(self._probe(view))
             running.append(view.probe)
         if running:
-            enough = PROBES_PER_ROUND - 1
-            await self._wait_for_probes(running, enough)
+            await self._wait_for_probes(running, enough=PROBES_PER_ROUND)
 
     async def _wait_for_probes(
         self, running: list[asyncio.Task[None]], enough: int
@@ -286,13 +302,15 @@
             if view.probe is None
             and now >= view.silent_until
             and now - view.reported_at > FRESH_S
+            and self._is_wanted(view)
         ]
+        # When probes are short, no upstream is always the one left out.
+        self._generator.shuffle(candidates)
         fresh = sum(1 for view in usable if now - view.reported_at <= FRESH_S)
         count = PROBES_PER_ROUND + len(self._waiters) - 1 - fresh
         count = max(0, min(MAX_PROBES_PER_ROUND, count))
         if len(candidates) <= count:
             return candidates
-        self._generator.shuffle(candidates)
         hinted = [view for view in candidates if now - view.reported_at <= HINT_S]
         hinted.sort(key=lambda view: self._estimate_for(view, 1.0, now).finish_s)
         good = [view for view in hinted[: count // 2] if self._looks_good(view)]
@@ -305,6 +323,11 @@
         rest = [view for view in candidates if view.upstream.id in slow]
         return (good + others + rest)[:count]
 
+    def _is_wanted(self, view: UpstreamView) -> bool:
+        """Returns whether some waiting request may go to an upstream."""
+        identifier = view.upstream.id
+        return any(identifier not in waiter.demand.excluded for waiter in self._waiters)
+
     @staticmethod
     def _looks_good(view: UpstreamView) -> bool:
         report = view.report
@@ -368,23 +391,36 @@
         """Gives upstreams to waiting requests; refuses those that are too late."""
         now = self._clock()
         self._waiters.sort(key=lambda waiter: self._get_order(waiter.demand, now))
-        usable = self._find_usable()
-        reported = [view for view in usable if now - view.reported_at <= USABLE_S]
-        if not reported:
-            reported = [view for view in usable if now - view.reported_at <= STALE_S]
-        if not reported:
-            reported = [view for view in usable if not view.silences]
+        tiers = self._find_tiers(now)
         left: list[Waiter] = []
         for waiter in self._waiters:
             if waiter.granted.done():
                 continue
-            view = self._pick(waiter.demand, reported, now)
+            view = self._pick(waiter.demand, self._find_tier(waiter.demand, tiers), now)
             if view is not None:
                 self._grant(waiter, view, now)
             elif not self._refuse_late(waiter, len(left), now):
                 left.append(waiter)
         self._waiters = left
 
+    def _find_tiers(self, now: float) -> list[list[UpstreamView]]:
+        """Returns the usable upstreams by how well they are known, best first."""
+        usable = self._find_usable()
+        return [
+            [view for view in usable if now - view.reported_at <= USABLE_S],
+            [view for view in usable if now - view.reported_at <= STALE_S],
+            [view for view in usable if not view.silences],
+        ]
+
+    def _find_tier(
+        self, demand: Demand, tiers: list[list[UpstreamView]]
+    ) -> list[UpstreamView]:
+        """Returns the best known upstreams among which a request has a choice."""
+        for tier in tiers:
+            if any(view.upstream.id not in demand.excluded for view in tier):
+                return tier
+        return []
+
     def _get_order(self, demand: Demand, now: float) -> tuple[int, bool, float]:
         """Returns the place: urgent ones first, then those that can meet the target."""
         late = now + self.work.get(demand.kind) > demand.target_at
@@ -403,16 +439,28 @@
             estimate = estimate_finish(view, work_s, self._failure_domain, now)
             if best is None or estimate.finish_s < best_estimate.finish_s:
                 best, best_estimate = view, estimate
-        if best is None or best_estimate.ahead > AHEAD_PER_SLOT * best.upstream.slots:
+        if best is None or self._is_too_full(best, best_estimate):
             return None
         to_target = demand.target_at - now
         if best_estimate.finish_s <= to_target * COMFORT_SHARE:
             return best
-        search_s = (demand.target_at - demand.arrived) * SEARCH_SHARE
-        if now - demand.arrived < search_s:
+        if work_s <= to_target * COMFORT_SHARE:
+            # A better upstream may still turn up in time.
             return None
         return best if best_estimate.finish_s <= demand.deadline - now else None
 
+    def _is_too_full(self, view: UpstreamView, estimate: Estimate) -> bool:
+        """Returns whether one more request would cost other requests too much.
+
+        A few waiting requests may take slots that slow an upstream down, since a free
+        one elsewhere is only found by probes. With many, such slots cost more than they
+        give.
+        """
+        if len(self._waiters) > MAX_CROWDING_WAITERS:
+            return estimate.excess > 0
+        slots = view.upstream.slots
+        return estimate.excess > slots - count_useful_slots(slots)
+
     def _estimate_for(self, view: UpstreamView, work_s: float, now: float) -> Estimate:
         return estimate_finish(view, work_s, self._failure_domain, now)
 
--- a/src/verbenacross/balancing/token_bucket.py
+++ b/src/verbenacross/balancing/token_bucket.py
@@ -4,14 +4,23 @@
 
 
 class TokenBucket:
-    """Limits a rate; ``rate`` is in tokens a second and may change."""
+    """Limits a rate; ``rate`` is in tokens a second and may change.
 
-    def __init__(self, rate: float, burst_s: float, now: float) -> None:
-        self.rate = rate
+    The first second's tokens are there from the start.
+    """
+
+    def __init__(self, burst_s: float, now: float) -> None:
+        self.rate = 0.0
         self._burst_s = burst_s
-        self._tokens = rate * burst_s
+        self._tokens = 0.0
         self._updated = now
 
+    def set_rate(self, rate: float) -> None:
+        """Sets the rate."""
+        if self.rate == 0.0:
+            self._tokens = rate
+        self.rate = rate
+
     def take(self, wanted: int, now: float) -> int:
         """Takes up to ``wanted`` whole tokens; returns how many."""
         limit = max(1.0, self.rate * self._burst_s)
--- a/src/verbenacross/console/node_application.py
+++ b/src/verbenacross/console/node_application.py
@@ -10,6 +10,11 @@
 import logbook
 
 from ..documents.exceptions import SettingsError
+
+# The HTTP library loads the system's certificates when it is imported, which takes a
+# third of the start-up time and some megabytes. The node program speaks no TLS.
+os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+
 from ..node.node import Node
 from ..node.settings import NodeSettings
 from ..observability.logs import configure_line_logs
--- a/src/verbenacross/feed/record_log.py
+++ b/src/verbenacross/feed/record_log.py
@@ -94,9 +94,9 @@
 
     def _is_new(self, record: StoredValue) -> bool:
         known = self._records.get(record.key)
-        if known is None:
-            return record.value is not None or record.revision > self.revision
-        return record.revision > known.revision
+        # Everything up to the log's revision is known, also what was deleted since.
+        newest = self.revision if known is None else max(self.revision, known.revision)
+        return record.revision > newest
 
     def _note_deletion(self, record: StoredValue) -> None:
         self._deletions.append(Deletion(time.monotonic(), record.key, record.revision))
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -46,6 +46,8 @@
 LISTEN_BACKLOG = 1_024
 MAX_HEADER_BYTES = 65_536
 PROBE_KEEPALIVE_S = 8.0
+# Requests in flight for each megabyte of the limit: answers of 100 kB fill half of it.
+REQUESTS_PER_MB = 5
 # Above every idle limit, because ``CallerConnections`` closes idle connections.
 OWN_IDLE_SWEEP_S = 86_400.0
 
@@ -62,7 +64,7 @@
         self.metrics = NodeMetrics()
         self.knowledge = Knowledge()
         self.shutdown = Shutdown(settings)
-        self.connections = CallerConnections()
+        self.connections = CallerConnections(settings.max_descriptors)
         store = PlatformStore(sessions.store, settings.store, STORE_TIMEOUT_S)
         self.log = RecordLog()
         self.log.batches.subscribe(self._take_batch)
@@ -91,6 +93,7 @@
             self.shutdown,
             self.metrics,
             DestinationChoice(random.Random()),
+            settings.memory_mb * REQUESTS_PER_MB,
         )
         self.knowledge.configurations.subscribe(self._take_table)
 
--- a/src/verbenacross/node/relayed_request.py
+++ b/src/verbenacross/node/relayed_request.py
@@ -20,6 +20,7 @@
     from ..balancing.demand import Demand
     from ..balancing.retry_allowance import RetryAllowance
     from ..balancing.service_balancer import ServiceBalancer
+    from ..balancing.upstream_view import UpstreamView
     from ..routes.route import Route
     from ..transport.request_body import RequestBody
     from ..transport.upstream_client import UpstreamClient
@@ -95,9 +96,19 @@
                     self.cause = f"{reason} at {self.upstream}"
                     if not self._may_repeat_lost(result):
                         break
-            self._demand.excluded.add(view.upstream.id)
+            self._exclude(view, result)
         return self._build_failure(retry_after_s, timed_out)
 
+    def _exclude(self, view: UpstreamView, result: AttemptResult) -> None:
+        """Keeps the next attempt off an upstream, but for one that got no byte.
+
+        That one may be asked again if there is no other.
+        """
+        untouched = isinstance(result, Lost) and not result.sent
+        if untouched and not self._balancer.has_other(self._demand, view):
+            return
+        self._demand.excluded.add(view.upstream.id)
+
     async def _run_attempt(self, attempt: UpstreamAttempt) -> AttemptResult:
         upstream = attempt.view.upstream
         self.upstream = upstream.id
--- a/src/verbenacross/node/request_handler.py
+++ b/src/verbenacross/node/request_handler.py
@@ -51,6 +51,7 @@
         shutdown: Shutdown,
         metrics: NodeMetrics,
         destinations: DestinationChoice,
+        max_in_flight: int,
     ) -> None:
         self._knowledge = knowledge
         self._balancers = balancers
@@ -59,6 +60,7 @@
         self._shutdown = shutdown
         self._metrics = metrics
         self._destinations = destinations
+        self._max_in_flight = max_in_flight
         self._loop = asyncio.get_running_loop()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -88,6 +90,10 @@
     ) -> web.StreamResponse:
         if self._shutdown.is_refusing():
             return self._refuse(503, "stopping", request_id, arrived, ELSEWHERE_RETRY_S)
+        if self._shutdown.drain.in_flight > self._max_in_flight:
+            return self._refuse(
+                503, "too-many-requests", request_id, arrived, ELSEWHERE_RETRY_S
+            )
         table = self._knowledge.table
         if table is None or not self._knowledge.is_complete():
             table = await self._wait_for_knowledge()
--- a/src/verbenacross/node/settings.py
+++ b/src/verbenacross/node/settings.py
@@ -16,10 +16,9 @@
 class NodeSettings(NamedTuple):
     """Settings of the node program; durations are in seconds.
 
-    ``seeds`` are peer addresses of other instances that may be stale. An upstream
-    serves for ``drain_timeout_s`` after it announced to leave. The process is killed
-    ``grace_period_s`` after it was told to stop. Repeats and probes are limits over all
-    instances together.
+    ``seeds`` are peer addresses of other instances that may be stale. The process is
+    killed ``grace_period_s`` after it was told to stop. Repeats and probes are limits
+    over all instances together.
     """
 
     instance: str
@@ -30,10 +29,8 @@
     metrics_listen: Address
     seeds: tuple[str, ...]
     store: str
-    heartbeat_s: float
     memory_mb: int
     max_descriptors: int
-    drain_timeout_s: float
     grace_period_s: float
     retry_ratio: float
     retry_window_s: float
@@ -67,10 +64,8 @@
             metrics_listen=root.get_address("metrics_listen"),
             seeds=tuple(root.get_texts("seeds")),
             store=root.get_text("store"),
-            heartbeat_s=root.get_duration("heartbeat"),
             memory_mb=root.get_int("memory_mb", 1),
             max_descriptors=root.get_int("max_descriptors", 1),
-            drain_timeout_s=root.get_duration("drain_timeout"),
             grace_period_s=root.get_duration("grace_period"),
             retry_ratio=root.get_number("retry_ratio", 0.0),
             retry_window_s=root.get_duration("retry_window"),
--- a/src/verbenacross/node/upstream_attempt.py
+++ b/src/verbenacross/node/upstream_attempt.py
@@ -18,6 +18,7 @@
     SIGNATURE,
     is_not_run,
     read_load,
+    read_load_after,
 )
 from ..transport.answer_body import is_bodiless
 from ..transport.attempt_guard import AttemptGuard
@@ -167,7 +168,7 @@
         if answer.status >= HTTP_SERVER_ERROR:
             return Failed(f"status {answer.status}")
         latency_s = self._loop.time() - self._started
-        return Answered(latency_s, read_load(answer.headers))
+        return Answered(latency_s, read_load_after(answer.headers))
 
     def _take_rejection(self, answer: aiohttp.ClientResponse) -> Rejected:
         if answer.status == MISDIRECTED:
--- a/src/verbenacross/platform/headers.py
+++ b/src/verbenacross/platform/headers.py
@@ -39,6 +39,18 @@
     return LoadReport(running, waiting, slots, slowness)
 
 
+def read_load_after(headers: Mapping[str, str]) -> LoadReport | None:
+    """Returns the load that an answer leaves behind.
+
+    An upstream counts the request itself in the load that it reports on the answer; a
+    request that waited takes over its slot.
+    """
+    report = read_load(headers)
+    if report is None or report.waiting or not report.running:
+        return report
+    return report._replace(running=report.running - 1)
+
+
 def is_not_run(status: int, headers: Mapping[str, str]) -> bool:
     """Returns whether an answer states that the upstream did not run the request."""
     return NOT_RUN in headers or status == MISDIRECTED
--- /dev/null
+++ b/tests/balancing/test_choice.py
@@ -0,0 +1,211 @@
+"""Choices of one balancer in single situations, on virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from measure.virtual_loop import run_virtual
+from verbenacross.balancing.demand import Demand
+from verbenacross.balancing.exceptions import (
+    DeadlineUnreachableError,
+    NoUpstreamError,
+)
+from verbenacross.balancing.load_report import LoadReport
+from verbenacross.balancing.outcome import Abandoned, Failed
+from verbenacross.balancing.service_balancer import ProbeAnswer, ServiceBalancer
+
+from .builders import build_upstream
+
+IDLE = LoadReport(0, 0, 6, 1.0)
+
+
+class FixedProber:
+    """Answers each probe after a round trip with what is set for the upstream."""
+
+    def __init__(self, **answers) -> None:
+        self.answers = answers
+        self.asked: list[str] = []
+
+    async def probe(self, upstream):
+        self.asked.append(upstream.id)
+        await asyncio.sleep(0.003)
+        answer = self.answers.get(upstream.id, ProbeAnswer(IDLE, is_well=True))
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def build_balancer(prober, *identifiers, rate=60.0, **changes) -> ServiceBalancer:
+    clock = asyncio.get_running_loop().time
+    balancer = ServiceBalancer("service-a", "a", prober, random.Random(1), clock)
+    for identifier in identifiers:
+        balancer.set_upstream(build_upstream(identifier, **changes))
+    balancer.set_probe_rate(rate, instances=1)
+    return balancer
+
+
+def build_demand(target_s=0.3, deadline_s=1.0, excluded=()) -> Demand:
+    now = asyncio.get_running_loop().time()
+    return Demand("r", "work", 1, now, now + target_s, now + deadline_s, set(excluded))
+
+
+def report(running=0, waiting=0, slowness=1.0) -> ProbeAnswer:
+    return ProbeAnswer(LoadReport(running, waiting, 6, slowness), is_well=True)
+
+
+def run(work):
+    """Runs a scenario on virtual time."""
+    return run_virtual(work())
+
+
+def test_upstream_on_a_slowed_machine_is_passed_over():
+    async def work():
+        prober = FixedProber(u1=report(slowness=7.0), u2=report(running=2))
+        balancer = build_balancer(prober, "u1", "u2")
+        view = await balancer.acquire(build_demand())
+        return view.upstream.id
+
+    assert run(work) == "u2"
+
+
+def test_request_waits_for_a_better_upstream_while_that_is_in_time():
+    async def work():
+        prober = FixedProber(u1=report(slowness=7.0))
+        balancer = build_balancer(prober, "u1")
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.1, prober.answers.pop, "u1")
+        await balancer.acquire(build_demand())
+        return loop.time()
+
+    assert 0.1 <= run(work) < 0.15
+
+
+def test_slow_upstream_is_better_than_none():
+    async def work():
+        prober = FixedProber(u1=report(slowness=7.0))
+        balancer = build_balancer(prober, "u1")
+        view = await balancer.acquire(build_demand(target_s=0.3, deadline_s=2.0))
+        return view.upstream.id
+
+    assert run(work) == "u1"
+
+
+def test_what_cannot_be_served_in_time_is_refused_at_once():
+    async def work():
+        balancer = build_balancer(FixedProber(u1=report(running=6, waiting=12)), "u1")
+        with pytest.raises(DeadlineUnreachableError) as caught:
+            await balancer.acquire(build_demand(target_s=0.01, deadline_s=0.05))
+        return asyncio.get_running_loop().time(), caught.value.retry_after_s
+
+    refused_at, retry_after_s = run(work)
+    assert refused_at < 0.03
+    assert retry_after_s > 0
+
+
+@pytest.mark.parametrize("reason", ["none", "draining", "excluded"])
+def test_no_upstream(reason):
+    async def work():
+        names = [] if reason == "none" else ["u1"]
+        balancer = build_balancer(FixedProber(), *names, draining=reason == "draining")
+        excluded = ["u1"] if reason == "excluded" else []
+        with pytest.raises(NoUpstreamError):
+            await balancer.acquire(build_demand(excluded=excluded))
+        return asyncio.get_running_loop().time()
+
+    assert run(work) == 0.0
+
+
+def test_second_attempt_finds_the_other_upstream_when_probes_are_short():
+    """The only probe went to the upstream that was excluded, again and again."""
+
+    async def work():
+        balancer = build_balancer(FixedProber(), "u1", "u2", rate=2.0)
+        view = await balancer.acquire(build_demand(excluded=["u1"]))
+        return view.upstream.id, asyncio.get_running_loop().time()
+
+    chosen, at = run(work)
+    assert chosen == "u2"
+    assert at < 0.1
+
+
+def test_choice_goes_on_when_no_probe_is_left():
+    async def work():
+        balancer = build_balancer(FixedProber(), "u1", "u2", rate=0.0)
+        chosen = set()
+        for _ in range(4):
+            view = await balancer.acquire(build_demand())
+            chosen.add(view.upstream.id)
+        return chosen, asyncio.get_running_loop().time()
+
+    chosen, at = run(work)
+    assert chosen == {"u1", "u2"}
+    assert at < 0.1
+
+
+def test_upstream_that_answers_no_probe_gets_no_work_while_others_do():
+    async def work():
+        balancer = build_balancer(FixedProber(u1=None), "u1", "u2")
+        chosen = [
+            (await balancer.acquire(build_demand())).upstream.id for _ in range(4)
+        ]
+        return chosen
+
+    assert run(work) == ["u2"] * 4
+
+
+def test_another_upstream_at_the_address_gets_no_work():
+    async def work():
+        prober = FixedProber(u1=LookupError("another answers"))
+        balancer = build_balancer(prober, "u1", "u2")
+        chosen = [
+            (await balancer.acquire(build_demand())).upstream.id for _ in range(4)
+        ]
+        return chosen
+
+    assert run(work) == ["u2"] * 4
+
+
+def test_own_sends_count_before_any_report_shows_them():
+    async def work():
+        balancer = build_balancer(FixedProber(), "u1", "u2")
+        demands = [build_demand() for _ in range(6)]
+        views = await asyncio.gather(*map(balancer.acquire, demands))
+        return sorted(view.upstream.id for view in views)
+
+    assert run(work) == ["u1"] * 3 + ["u2"] * 3
+
+
+def test_caller_that_leaves_while_waiting_leaves_nothing_behind():
+    async def work():
+        prober = FixedProber(u1=report(running=6, waiting=4))
+        balancer = build_balancer(prober, "u1")
+        task = asyncio.create_task(balancer.acquire(build_demand()))
+        await asyncio.sleep(0.05)
+        task.cancel()
+        await asyncio.wait([task])
+        await asyncio.sleep(0.05)
+        return balancer.waiting, balancer.views["u1"].in_flight
+
+    assert run(work) == (0, 0)
+
+
+def test_upstream_that_fails_always_loses_its_work_within_a_second():
+    async def work():
+        balancer = build_balancer(FixedProber(), "u1", "u2", "u3")
+        loop = asyncio.get_running_loop()
+        last_bad = 0.0
+        while loop.time() < 3.0:
+            demand = build_demand()
+            view = await balancer.acquire(demand)
+            bad = view.upstream.id == "u1"
+            if bad and loop.time() < 2.0:
+                last_bad = loop.time()
+            await asyncio.sleep(0.02)
+            outcome = Failed("status 500") if bad else Abandoned()
+            balancer.release(view, demand, outcome)
+        return last_bad
+
+    assert run(work) <= 1.0 + 0.1
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -183,10 +183,8 @@
             "metrics_listen": addresses[3],
             "seeds": [],
             "store": (front or self.front).address,
-            "heartbeat": "1500ms",
             "memory_mb": 300,
             "max_descriptors": 4100,
-            "drain_timeout": "2s",
             "grace_period": f"{GRACE_S}s",
             "retry_ratio": 0.2,
             "retry_window": "10s",
@@ -216,6 +214,10 @@
         site = Site(stack, tmp_path)
         await site.open()
         yield site
+        # Shown when a test fails.
+        for node in site.nodes:
+            for line in node.lines:
+                print(node.name, json.dumps(line))
 
 
 @pytest.fixture
--- a/tests/node/test_lifecycle.py
+++ b/tests/node/test_lifecycle.py
@@ -129,7 +129,7 @@
     _, errors = await process.communicate()
 
     assert process.returncode == 2
-    for name in ("instance", "listen", "memory_mb", "drain_timeout"):
+    for name in ("instance", "listen", "memory_mb", "grace_period"):
         assert f"$.{name}:" in errors.decode()
     assert await node.is_ready()
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from verbenacross.balancing.load_report import LoadReport
-from verbenacross.platform.headers import is_not_run, read_load
+from verbenacross.platform.headers import is_not_run, read_load, read_load_after
 
 
 @pytest.mark.parametrize(
@@ -24,6 +24,15 @@
     assert read_load({"X-Server-Load": text}) == report
 
 
+@pytest.mark.parametrize(
+    ("text", "running", "waiting"), [("3,0,6", 2, 0), ("6,2,6", 6, 2), ("0,0,6", 0, 0)]
+)
+def test_load_that_an_answer_leaves_behind(text, running, waiting):
+    report = read_load_after({"X-Server-Load": text})
+
+    assert (report.running, report.waiting) == (running, waiting)
+
+
 def test_no_load():
     assert read_load({}) is None
 
