--- a/src/verbenacross/node/attempt_result.py
+++ b/src/verbenacross/node/attempt_result.py
@@ -38,10 +38,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Lost:
-    """No usable answer; ``sent`` tells whether the request may have run."""
+    """No usable answer; ``sent`` tells whether the request may have run.
+
+    ``is_stale`` tells that only a kept connection was unusable, not the upstream.
+    """
 
     reason: str
     sent: bool
+    is_stale: bool = False
     timed_out: bool = False
 
 
--- a/src/verbenacross/node/relayed_request.py
+++ b/src/verbenacross/node/relayed_request.py
@@ -67,6 +67,8 @@
         self._headers = copy_end_to_end(request.headers)
         self._headers.popall("Expect", None)
         self._last_answer: WholeAnswer | None = None
+        # A kept connection may break unnoticed, which leaves the outcome unknown.
+        self._needs_new_connection = not route.idempotent
 
     async def run(self) -> web.StreamResponse:
         """Returns the answer for the caller, ready to be sent or sent already."""
@@ -104,6 +106,9 @@
 
         That one may be asked again if there is no other.
         """
+        if isinstance(result, Lost) and result.is_stale:
+            self._needs_new_connection = True
+            return
         untouched = isinstance(result, Lost) and not result.sent
         if untouched and not self._balancer.has_other(self._demand, view):
             return
@@ -119,7 +124,7 @@
             get_target(self._request),
             self._headers,
             self._body.build_payload(),
-            new_connection=not self._route.idempotent or self.sends > 0,
+            new_connection=self._needs_new_connection or self.sends > 0,
         )
         match result:
             case Rejected():
--- a/src/verbenacross/node/upstream_attempt.py
+++ b/src/verbenacross/node/upstream_attempt.py
@@ -136,6 +136,8 @@
     def _lose(self, error: Exception) -> Lost:
         sent = self._guard.may_have_sent()
         reason = repr(error)
+        if not sent and self._guard.is_reused():
+            return Lost(reason, sent, is_stale=True)
         if not sent:
             self._outcome = Unreachable(reason)
         elif self._guard.is_reused() and not isinstance(error, UnusableAnswerError):
--- a/src/verbenacross/transport/attempt_request.py
+++ b/src/verbenacross/transport/attempt_request.py
@@ -30,6 +30,7 @@
         protocol = conn.protocol
         if protocol is not None and protocol.should_close:
             # Bytes that belong to no request arrived while the connection was idle.
+            self.reused = True
             raise aiohttp.ServerDisconnectedError("unexpected bytes while idle")
         if protocol in USED_PROTOCOLS:
             self.reused = True
--- a/tests/node/test_answers.py
+++ b/tests/node/test_answers.py
@@ -75,6 +75,24 @@
         await asyncio.sleep(0.02)
 
 
+async def test_bytes_on_an_idle_connection_cost_neither_time_nor_the_upstream(
+    empty_site,
+):
+    """The upstream counted as silent, and the request had nowhere else to go."""
+    await empty_site.configure()
+    upstream = await empty_site.add_upstream("u1", always="twice-late")
+    node = await empty_site.add_node()
+    await node.wait_ready()
+
+    for number in range(5):
+        status, headers, _ = await node.call(request_id=f"r{number}")
+        assert status == 200
+        assert headers["X-Request-Id"] == f"r{number}"
+        await asyncio.sleep(0.1)
+    assert not node.find_lines("upstream does not answer")
+    assert len(upstream.runs) == 5
+
+
 async def test_rejected_request_runs_elsewhere_even_if_it_may_run_once(site):
     site.upstreams[0].always = "shed"
 
