--- a/measure/service_callers.py
+++ b/measure/service_callers.py
@@ -10,7 +10,8 @@
 from verbenacross.balancing.demand import Demand
 from verbenacross.balancing.exceptions import BalancingError
 from verbenacross.balancing.outcome import Abandoned, Answered, Failed, NotRun
-from verbenacross.balancing.service_balancer import ProbeAnswer, ServiceBalancer
+from verbenacross.balancing.prober import ProbeAnswer
+from verbenacross.balancing.service_balancer import ServiceBalancer
 
 from .service_model import ModelFailedError, ModelRejectedError
 
--- /dev/null
+++ b/src/verbenacross/balancing/probe_rounds.py
@@ -0,0 +1,177 @@
+"""Rounds of probes right before upstreams are chosen."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import TYPE_CHECKING
+
+import logbook
+
+from .finish_estimate import estimate_finish
+from .load_report import LoadReport
+from .token_bucket import TokenBucket
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Sequence
+
+    from .demand import Demand
+    from .prober import Prober
+    from .upstream_view import UpstreamView
+
+# How long a round is waited for; a round trip takes about 5 ms.
+PROBE_WAIT_S = 0.010
+# Reports younger than this need no new probe, in seconds.
+FRESH_S = 0.008
+# A report this old still tells which upstreams are worth a probe.
+HINT_S = 0.350
+# A machine above this slowness is not worth a probe while others are.
+GOOD_SLOWNESS = 2.0
+PROBES_PER_ROUND = 3
+MAX_PROBES_PER_ROUND = 12
+# Quiet seconds whose probes may be used at a crest.
+PROBE_BURST_S = 4.0
+# Part of the probe budget that is used; the rest covers changes of membership.
+PROBE_SHARE = 0.85
+# First pause after an unanswered probe and the longest, in seconds.
+FIRST_SILENCE_S = 0.2
+LONGEST_SILENCE_S = 1.0
+
+logger = logbook.Logger("verbenacross.balancing")
+
+
+class ProbeRounds:
+    """Probes the most promising upstreams, within this instance's part of the budget.
+
+    ``sent`` counts the probes.
+    """
+
+    def __init__(
+        self,
+        prober: Prober,
+        failure_domain: str,
+        generator: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self.sent = 0
+        self._prober = prober
+        self._failure_domain = failure_domain
+        self._generator = generator
+        self._clock = clock
+        self._budget = TokenBucket(PROBE_BURST_S, clock())
+
+    def set_budget(self, per_upstream: float, upstreams: int, instances: int) -> None:
+        """Sets the budget: probes a second on each upstream by all instances."""
+        self._budget.set_rate(per_upstream * PROBE_SHARE * upstreams / instances)
+
+    async def run(
+        self, usable: Sequence[UpstreamView], waiting: Sequence[Demand]
+    ) -> None:
+        """Asks upstreams for their load on behalf of the waiting requests."""
+        now = self._clock()
+        running = [view.probe for view in usable if view.probe is not None]
+        wanted = self._choose(usable, waiting, now)
+        count = self._budget.take(len(wanted), now)
+        for view in wanted[:count]:
+            view.probe = asyncio.create_task(self._probe(view))
+            running.append(view.probe)
+        if running:
+            await self._wait(running, enough=PROBES_PER_ROUND)
+
+    async def _wait(self, running: list[asyncio.Task[None]], enough: int) -> None:
+        """Waits until enough probes ended, or for ``PROBE_WAIT_S``."""
+        end = self._clock() + PROBE_WAIT_S
+        pending = set(running)
+        ended = 0
+        while pending and ended < enough:
+            left = end - self._clock()
+            if left <= 0:
+                return
+            done, pending = await asyncio.wait(
+                pending, timeout=left, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not done:
+                return
+            ended += len(done)
+
+    def _choose(
+        self, usable: Sequence[UpstreamView], waiting: Sequence[Demand], now: float
+    ) -> list[UpstreamView]:
+        """Returns the upstreams to ask: half of them lately good ones, half any."""
+        candidates = [
+            view
+            for view in usable
+            if view.probe is None
+            and now >= view.silent_until
+            and now - view.reported_at > FRESH_S
+            and any(view.upstream.id not in demand.excluded for demand in waiting)
+        ]
+        # When probes are short, no upstream is always the one left out.
+        self._generator.shuffle(candidates)
+        fresh = sum(1 for view in usable if now - view.reported_at <= FRESH_S)
+        count = PROBES_PER_ROUND + len(waiting) - 1 - fresh
+        count = max(0, min(MAX_PROBES_PER_ROUND, count))
+        if len(candidates) <= count:
+            return candidates
+        hinted = [view for view in candidates if now - view.reported_at <= HINT_S]
+        hinted.sort(key=lambda view: self._get_order(view, now))
+        good = [view for view in hinted[: count // 2] if self._looks_good(view)]
+        slow = {view.upstream.id for view in hinted if not self._looks_good(view)}
+        others = [
+            view
+            for view in candidates
+            if view not in good and view.upstream.id not in slow
+        ]
+        rest = [view for view in candidates if view.upstream.id in slow]
+        return (good + others + rest)[:count]
+
+    def _get_order(self, view: UpstreamView, now: float) -> float:
+        """Returns how long an upstream would take, relative to the usual pace."""
+        return estimate_finish(view, 1.0, self._failure_domain, now).finish_s
+
+    @staticmethod
+    def _looks_good(view: UpstreamView) -> bool:
+        report = view.report
+        if report is None or report.waiting:
+            return False
+        return report.slowness < GOOD_SLOWNESS
+
+    async def _probe(self, view: UpstreamView) -> None:
+        asked_at = self._clock()
+        self.sent += 1
+        try:
+            answer = await self._prober.probe(view.upstream)
+        except LookupError as error:
+            view.is_misdirected = True
+            extra = {"upstream": view.upstream.id, "reason": str(error)}
+            logger.info("upstream replaced at its address", extra=extra)
+            return
+        finally:
+            view.probe = None
+        now = self._clock()
+        if answer is None:
+            self.note_silence(view)
+            return
+        view.silences = 0
+        if view.is_ill is answer.is_well:
+            view.is_ill = not answer.is_well
+            logger.info(
+                "health of upstream changed",
+                extra={"upstream": view.upstream.id, "is_ill": view.is_ill},
+            )
+        report = answer.report
+        if report is None:
+            report = LoadReport(view.in_flight, 0, view.upstream.slots, 1.0)
+        view.take_report(report, asked_at, now)
+
+    def note_silence(self, view: UpstreamView) -> None:
+        """Stops asking an upstream that does not answer, for longer each time."""
+        pause_s = min(LONGEST_SILENCE_S, FIRST_SILENCE_S * 2.0**view.silences)
+        view.silences += 1
+        view.silent_until = self._clock() + pause_s
+        view.report = None
+        view.reported_at = -math.inf
+        if view.silences == 1:
+            extra = {"upstream": view.upstream.id, "pause_s": pause_s}
+            logger.info("upstream does not answer", extra=extra)
--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -5,16 +5,15 @@
 import asyncio
 import random
 from collections import deque
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple
 
 import logbook
 
 from .ejection import is_on_trial, note_failure, note_success
 from .exceptions import BalancingError, DeadlineUnreachableError, NoUpstreamError
 from .finish_estimate import Estimate, count_useful_slots, estimate_finish
-from .load_report import LoadReport
 from .outcome import Abandoned, Answered, Failed, NotRun, Unreachable
-from .token_bucket import TokenBucket
+from .probe_rounds import ProbeRounds
 from .upstream_view import UpstreamView
 from .work_estimator import WorkEstimator
 
@@ -22,27 +21,17 @@
     from collections.abc import Callable, Iterable
 
     from .demand import Demand
+    from .load_report import LoadReport
     from .outcome import Outcome
+    from .prober import Prober
     from .upstream import Upstream
 
-# How long a round of probes is waited for; a round trip takes about 5 ms.
-PROBE_WAIT_S = 0.010
 # How old a report is on arrival; a round trip takes about 5 ms.
 REPORT_AGE_S = 0.004
-# Reports younger than this need no new probe, in seconds.
-FRESH_S = 0.008
 # Reports up to this age are used, older ones with growing doubt.
 USABLE_S = 0.250
-# A report this old still tells which upstreams are worth a probe.
-HINT_S = 0.350
 # Oldest report that is used when probes are not to be had.
 STALE_S = 3.0
-PROBES_PER_ROUND = 3
-MAX_PROBES_PER_ROUND = 12
-# Quiet seconds whose probes may be used at a crest.
-PROBE_BURST_S = 4.0
-# Part of the probe budget that is used; the rest covers changes of membership.
-PROBE_SHARE = 0.85
 # Waiting requests above which upstreams are kept at their best load.
 MAX_CROWDING_WAITERS = 3
 # Pause between two rounds while requests wait.
@@ -57,30 +46,10 @@
 RATE_WINDOW_S = 1.0
 # Machines of the users' sites take two to three times as long on average.
 TYPICAL_SLOWDOWN = 2.5
-# First pause after an unanswered probe and the longest, in seconds.
-FIRST_SILENCE_S = 0.2
-LONGEST_SILENCE_S = 1.0
 
 logger = logbook.Logger("verbenacross.balancing")
 
 
-class ProbeAnswer(NamedTuple):
-    """What an upstream's health path said."""
-
-    report: LoadReport | None
-    is_well: bool
-
-
-class Prober(Protocol):
-    """Asks an upstream's health path."""
-
-    async def probe(self, upstream: Upstream) -> ProbeAnswer | None:
-        """Returns the answer; ``None`` without a usable one.
-
-        Raises ``LookupError`` when another upstream answers at the address.
-        """
-
-
 class Waiter(NamedTuple):
     """A request that waits for an upstream."""
 
@@ -108,12 +77,10 @@
         self.service = service
         self.views: dict[str, UpstreamView] = {}
         self.work = WorkEstimator()
-        self.probes = TokenBucket(PROBE_BURST_S, clock())
-        self.probes_sent = 0
+        self.probes = ProbeRounds(prober, failure_domain, generator, clock)
         self.refused = 0
         self._instances = 1
         self._failure_domain = failure_domain
-        self._prober = prober
         self._generator = generator
         self._clock = clock
         self._waiters: list[Waiter] = []
@@ -142,8 +109,7 @@
     def set_probe_rate(self, per_upstream: float, instances: int) -> None:
         """Sets the budget: probes a second on each upstream by all instances."""
         self._instances = max(1, instances)
-        share = per_upstream * PROBE_SHARE / max(1, instances)
-        self.probes.set_rate(share * len(self.views))
+        self.probes.set_budget(per_upstream, len(self.views), self._instances)
 
     async def acquire(self, demand: Demand) -> UpstreamView:
         """Returns an upstream for an attempt; raises ``BalancingError``."""
@@ -194,7 +160,7 @@
             case Failed(reason):
                 self._take_failure(view, demand, reason, now)
             case Unreachable(reason):
-                self._silence(view, now)
+                self.probes.note_silence(view)
                 self._take_failure(view, demand, reason, now)
             case Abandoned():
                 pass
@@ -255,7 +221,8 @@
     async def _serve_waiters(self) -> None:
         while self._waiters:
             self._wake.clear()
-            await self._probe_round()
+            demands = [waiter.demand for waiter in self._waiters]
+            await self.probes.run(self._find_usable(), demands)
             self._assign()
             if not self._waiters:
                 break
@@ -265,117 +232,6 @@
             except TimeoutError:
                 continue
 
-    async def _probe_round(self) -> None:
-        """Asks the most promising upstreams for their load."""
-        now = self._clock()
-        usable = self._find_usable()
-        running = [view.probe for view in usable if view.probe is not None]
-        wanted = self._choose_probed(usable, now)
-        count = self.probes.take(len(wanted), now)
-        for view in wanted[:count]:
-            view.probe = asyncio.create_task(self._probe(view))
-            running.append(view.probe)
-        if running:
-            await self._wait_for_probes(running, enough=PROBES_PER_ROUND)
-
-    async def _wait_for_probes(
-        self, running: list[asyncio.Task[None]], enough: int
-    ) -> None:
-        """Waits until enough probes ended, or for ``PROBE_WAIT_S``."""
-        end = self._clock() + PROBE_WAIT_S
-        pending = set(running)
-        ended = 0
-        while pending and ended < enough:
-            left = end - self._clock()
-            if left <= 0:
-                return
-            done, pending = await asyncio.wait(
-                pending, timeout=left, return_when=asyncio.FIRST_COMPLETED
-            )
-            if not done:
-                return
-            ended += len(done)
-
-    def _choose_probed(
-        self, usable: list[UpstreamView], now: float
-    ) -> list[UpstreamView]:
-        """Returns the upstreams to ask: half of them lately good ones, half any."""
-        candidates = [
-            view
-            for view in usable
-            if view.probe is None
-            and now >= view.silent_until
-            and now - view.reported_at > FRESH_S
-            and self._is_wanted(view)
-        ]
-        # When probes are short, no upstream is always the one left out.
-        self._generator.shuffle(candidates)
-        fresh = sum(1 for view in usable if now - view.reported_at <= FRESH_S)
-        count = PROBES_PER_ROUND + len(self._waiters) - 1 - fresh
-        count = max(0, min(MAX_PROBES_PER_ROUND, count))
-        if len(candidates) <= count:
-            return candidates
-        hinted = [view for view in candidates if now - view.reported_at <= HINT_S]
-        hinted.sort(key=lambda view: self._estimate_for(view, 1.0, now).finish_s)
-        good = [view for view in hinted[: count // 2] if self._looks_good(view)]
-        slow = {view.upstream.id for view in hinted if not self._looks_good(view)}
-        others = [
-            view
-            for view in candidates
-            if view not in good and view.upstream.id not in slow
-        ]
-        rest = [view for view in candidates if view.upstream.id in slow]
-        return (good + others + rest)[:count]
-
-    def _is_wanted(self, view: UpstreamView) -> bool:
-        """Returns whether some waiting request may go to an upstream."""
-        identifier = view.upstream.id
-        return any(identifier not in waiter.demand.excluded for waiter in self._waiters)
-
-    @staticmethod
-    def _looks_good(view: UpstreamView) -> bool:
-        report = view.report
-        return report is not None and report.slowness < 2 and not report.waiting
-
-    async def _probe(self, view: UpstreamView) -> None:
-        asked_at = self._clock()
-        self.probes_sent += 1
-        try:
-            answer = await self._prober.probe(view.upstream)
-        except LookupError as error:
-            view.is_misdirected = True
-            extra = {"upstream": view.upstream.id, "reason": str(error)}
-            logger.info("upstream replaced at its address", extra=extra)
-            return
-        finally:
-            view.probe = None
-        now = self._clock()
-        if answer is None:
-            self._silence(view, now)
-            return
-        view.silences = 0
-        if view.is_ill is answer.is_well:
-            view.is_ill = not answer.is_well
-            logger.info(
-                "health of upstream changed",
-                extra={"upstream": view.upstream.id, "is_ill": view.is_ill},
-            )
-        report = answer.report
-        if report is None:
-            report = LoadReport(view.in_flight, 0, view.upstream.slots, 1.0)
-        view.take_report(report, asked_at, now)
-
-    def _silence(self, view: UpstreamView, now: float) -> None:
-        """Stops asking an upstream that does not answer, for longer each time."""
-        pause_s = min(LONGEST_SILENCE_S, FIRST_SILENCE_S * 2.0**view.silences)
-        view.silences += 1
-        view.silent_until = now + pause_s
-        view.report = None
-        view.reported_at = -1.0
-        if view.silences == 1:
-            extra = {"upstream": view.upstream.id, "pause_s": pause_s}
-            logger.info("upstream does not answer", extra=extra)
-
     def _find_usable(self) -> list[UpstreamView]:
         """Returns the upstreams that may get work, doubtful ones if few are left."""
         now = self._clock()
--- a/src/verbenacross/node/balancers.py
+++ b/src/verbenacross/node/balancers.py
@@ -10,7 +10,7 @@
 from ..balancing.service_balancer import ServiceBalancer
 
 if TYPE_CHECKING:
-    from ..balancing.service_balancer import Prober
+    from ..balancing.prober import Prober
     from .knowledge import Knowledge
     from .settings import NodeSettings
 
@@ -78,7 +78,7 @@
 
     def count_probes(self) -> int:
         """Returns how many probes were sent."""
-        return sum(balancer.probes_sent for balancer in self._balancers.values())
+        return sum(balancer.probes.sent for balancer in self._balancers.values())
 
     def describe(self) -> dict[str, Any]:
         """Returns the state as a JSON object."""
@@ -86,7 +86,7 @@
             name: {
                 "waiting": balancer.waiting,
                 "refused": balancer.refused,
-                "probes": balancer.probes_sent,
+                "probes": balancer.probes.sent,
                 "upstreams": {
                     identifier: {
                         "in_flight": view.in_flight,
--- a/src/verbenacross/node/upstream_prober.py
+++ b/src/verbenacross/node/upstream_prober.py
@@ -7,7 +7,7 @@
 import aiohttp
 from yarl import URL
 
-from ..balancing.service_balancer import ProbeAnswer
+from ..balancing.prober import ProbeAnswer
 from ..platform.headers import UPSTREAM_ID, read_load
 
 if TYPE_CHECKING:
--- a/tests/balancing/test_choice.py
+++ b/tests/balancing/test_choice.py
@@ -15,7 +15,8 @@
 )
 from verbenacross.balancing.load_report import LoadReport
 from verbenacross.balancing.outcome import Abandoned, Failed
-from verbenacross.balancing.service_balancer import ProbeAnswer, ServiceBalancer
+from verbenacross.balancing.prober import ProbeAnswer
+from verbenacross.balancing.service_balancer import ServiceBalancer
 
 from .builders import build_upstream
 
