--- a/tests/node/test_lifecycle.py
+++ b/tests/node/test_lifecycle.py
@@ -48,7 +48,6 @@
     """Callers use kept connections and open new ones until the process is gone."""
     node = site.nodes[0]
     results: list[int] = []
-    cut: list[str] = []
 
     async def call_until_gone(force_close):
         connector = aiohttp.TCPConnector(limit=1, force_close=force_close)
@@ -65,10 +64,6 @@
                             assert "Retry-After" in got.headers
                 except aiohttp.ClientConnectorError:
                     return
-                except aiohttp.ClientConnectionError:
-                    # Nobody promised to read what crosses the end of the process.
-                    cut.append(f"{force_close}-{number}")
-                    return
                 await asyncio.sleep(0.005)
 
     callers = [asyncio.create_task(call_until_gone(n % 2 == 0)) for n in range(6)]
@@ -79,8 +74,6 @@
     assert await node.wait_end() == 0
     await asyncio.gather(*callers)
     assert set(results) <= {200, 503}
-    read = {line.get("request_id") for line in node.lines}
-    assert read.isdisjoint(cut)
 
 
 async def test_stop_ends_before_the_kill_even_if_work_hangs(site):
