Let a lost history end the waiting watches of the store's stand-in

Cause: a watch that a change had woken found the history already dropped and waited on; at its end it got no events and the current revision, so the node missed the changes for good. Ruled out: the node's reader, its log lines, the silence of the front. Change: the stand-in answers 410 to a waiting watch, as to a later one.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -102,10 +102,15 @@
             self._delete(key)
             self._changed.notify_all()
 
-    def forget_history(self) -> None:
-        """Answers 410 to watches from any revision before the current one."""
-        self.history.clear()
-        self.forgotten_revision = self.revision
+    async def forget_history(self) -> None:
+        """Answers 410 to watches from any revision before the current one.
+
+        Watches that wait for later changes already go on.
+        """
+        async with self._changed:
+            self.history.clear()
+            self.forgotten_revision = self.revision
+            self._changed.notify_all()
 
     async def _answer(
         self, front: Front, request: web.BaseRequest
@@ -173,7 +178,9 @@
         prefix = query["path_prefix"]
         try:
             async with asyncio.timeout(int(query["wait_ms"]) / 1000), self._changed:
-                while not self._find_events(prefix, after):
+                while after >= self.forgotten_revision and not self._find_events(
+                    prefix, after
+                ):
                     await self._changed.wait()
         except TimeoutError:
             return web.json_response({"events": [], "at": self.revision})
--- a/tests/node/test_news.py
+++ b/tests/node/test_news.py
@@ -141,7 +141,7 @@
     site.front.fault = "silent"
     await site.store.remove("servers/u1")
     await site.configure(version=4)
-    site.store.forget_history()
+    await site.store.forget_history()
     await asyncio.sleep(0.2)
     site.front.fault = ""
 
--- /dev/null
+++ b/tests/platform/test_store_standin.py
@@ -0,0 +1,33 @@
+"""The stand-in of the users' store keeps the store's promises to a waiting watch."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from standins.platform_store import PlatformStoreStandIn
+from verbenacross.infrastructure.exceptions import HistoryLostError
+from verbenacross.platform.store import PlatformStore
+
+TIMEOUT_S = 2.0
+WAIT_MS = 500
+
+
+async def test_history_lost_right_after_a_change_ends_a_waiting_watch():
+    """A watch that is woken too late for an event must not be told that all is well."""
+    async with PlatformStoreStandIn() as stand_in, aiohttp.ClientSession() as session:
+        front = await stand_in.open_front()
+        store = PlatformStore(session, front.address, TIMEOUT_S)
+        watch = asyncio.create_task(store.watch("", stand_in.revision, WAIT_MS))
+        while not front.calls:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+
+        # No step of the watch lies between the change and the loss of its event.
+        await stand_in.put("servers/u1", {})
+        await stand_in.forget_history()
+
+        with pytest.raises(HistoryLostError):
+            await watch
