Bound the time that a stopping node waits for its HTTP handlers

Cause: the HTTP library takes a shutdown timeout of 0 as no limit. A request or a connection that did not end by itself held the process after 'stopped' until it was killed.

--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -21,7 +21,7 @@
 from ..platform.records import NODE_PREFIX, WATCHED_PREFIX, read_change
 from ..platform.store import PlatformStore
 from ..routes.destination_choice import DestinationChoice
-from ..transport.caller_server import CallerServer
+from ..transport.caller_server import CLOSE_TIMEOUT_S, CallerServer
 from ..transport.upstream_client import UpstreamClient
 from .balancers import Balancers
 from .caller_connections import CallerConnections
@@ -125,7 +125,7 @@
         )
         await serve_readiness(stack, settings.readiness_listen, self.is_ready)
         await serve_metrics(stack, settings.metrics_listen, self)
-        runner = web.ServerRunner(server, shutdown_timeout=0.0)
+        runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
         await runner.setup()
         stack.push_async_callback(runner.cleanup)
         address = settings.listen
--- a/src/verbenacross/node/side_servers.py
+++ b/src/verbenacross/node/side_servers.py
@@ -9,6 +9,8 @@
 from aiohttp import web
 from aioprometheus.renderer import render
 
+from ..transport.caller_server import CLOSE_TIMEOUT_S
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
     from contextlib import AsyncExitStack
@@ -68,7 +70,8 @@
     answer: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
 ) -> None:
     """Listens on an address until the stack closes; raises ``OSError``."""
-    runner = web.ServerRunner(web.Server(answer, access_log=None), shutdown_timeout=0.0)
+    server = web.Server(answer, access_log=None)
+    runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
     await web.TCPSite(runner, address.host, address.port).start()
--- a/src/verbenacross/transport/caller_server.py
+++ b/src/verbenacross/transport/caller_server.py
@@ -12,6 +12,11 @@
     from collections.abc import Awaitable, Callable
 
 
+# Time for handlers to end when a server closes, in seconds. The HTTP library takes 0 as
+# no limit at all.
+CLOSE_TIMEOUT_S = 0.05
+
+
 class CallerServer(web.Server):
     """Server whose connections are ``CallerProtocol``."""
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -13,6 +13,8 @@
 
 FIRST_LEASE = 77_120
 PAGE_ITEMS = 40
+# The HTTP library takes 0 as no limit at all, in seconds.
+CLOSE_TIMEOUT_S = 0.01
 STORE_PATH = "/verbenacross/"
 
 Fault = Literal["", "busy", "many", "silent", "reset", "lose-answers"]
@@ -78,7 +80,7 @@
 
         runner = web.ServerRunner(
             web.Server(answer, access_log=None, handler_cancellation=True),
-            shutdown_timeout=0.0,
+            shutdown_timeout=CLOSE_TIMEOUT_S,
         )
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
--- a/tests/node/test_lifecycle.py
+++ b/tests/node/test_lifecycle.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from .conftest import GRACE_S, HOST, wait_until
+from .conftest import GRACE_S, HOST, build_rule, wait_until
 
 
 async def test_not_ready_before_anything_is_known(empty_site):
@@ -90,6 +90,23 @@
     await asyncio.gather(call, return_exceptions=True)
 
 
+async def test_stop_ends_before_the_kill_though_a_route_allows_more_time(site):
+    """What still runs at the end must not hold up the process."""
+    await site.configure(build_rule("/safe/", timeout="60s"), version=2)
+    for upstream in site.upstreams:
+        upstream.always = "silent"
+    node = site.nodes[0]
+    await wait_until(lambda: node.find_lines("configuration in force", version=2))
+    call = asyncio.create_task(node.call(headers={"X-Deadline-Ms": "60000"}))
+    await wait_until(lambda: site.find_runs("r1"))
+
+    started = time.monotonic()
+    node.kill(signal.SIGTERM)
+    assert await node.wait_end() == 0
+    assert time.monotonic() - started < GRACE_S
+    await asyncio.gather(call, return_exceptions=True)
+
+
 async def test_restart_is_quick_and_does_not_go_back(site):
     node = site.nodes[0]
     await site.configure(version=9)
