Keep upstreams at their best load at a crest and probe less often there

The rule that allowed it below four waiting requests looked at one instance: at a crest each of 13 has one or two, so 45% of the starts were crowded, while instances with more waiting requests found no slot and refused. Rounds of probes every 8 ms used up the budget. Late requests waited for the same full upstreams and were refused, while machines slowed by neighbours were idle. Change: no start above the best load; a round each 50 ms unless requests arrive, reports count as fresh for 20 ms; late requests take any upstream that can answer before the deadline.

--- a/measure/service_callers.py
+++ b/measure/service_callers.py
@@ -25,11 +25,18 @@
     from .service_model import ServiceModel
 
 PROBE_TIMEOUT_S = 0.12
+# Callers state a little less than the deadline of their kind of request.
+PATIENCE_SHARE = (0.87, 1.0)
+# A caller honours advice up to this share of the time it has left.
+RETURN_SHARE = 1 / 3
 
 
 @dataclass(frozen=True)
 class CallShape:
-    """Requests of one kind; times are in seconds."""
+    """Requests of one kind; times are in seconds.
+
+    A refused caller comes back ``returns`` times, each time to another instance.
+    """
 
     work_s: float
     target_s: float
@@ -37,6 +44,7 @@
     long_share: float = 0.03
     long_factor: float = 7.0
     priority: int = 1
+    returns: int = 0
 
 
 @dataclass
@@ -147,17 +155,12 @@
         is_long = self._generator.random() < call.long_share
         work_s = call.work_s * self._generator.lognormvariate(0, 0.3)
         work_s *= call.long_factor if is_long else 1.0
-        demand = Demand(
-            request_id="",
-            kind=f"work-{call.work_s}",
-            priority=call.priority,
-            arrived=now,
-            target_at=now + call.target_s,
-            deadline=now + call.deadline_s,
-        )
+        patience_s = call.deadline_s * self._generator.uniform(*PATIENCE_SHARE)
         try:
-            async with asyncio.timeout_at(demand.deadline):
-                succeeded = await self._attempt(demand, chooser, work_s)
+            async with asyncio.timeout_at(now + patience_s):
+                succeeded = await self._call_and_return(
+                    call, chooser, work_s, now + patience_s
+                )
         except BalancingError:
             tally.refused += 1
             tally.refused_after.append(self._loop.time() - now)
@@ -174,6 +177,33 @@
         else:
             tally.late += 1
 
+    async def _call_and_return(
+        self, call: CallShape, chooser: Chooser, work_s: float, deadline: float
+    ) -> bool:
+        """Makes the attempts of one caller; raises ``BalancingError``."""
+        for returns_left in range(call.returns, -1, -1):
+            demand = self._build_demand(call, deadline)
+            try:
+                return await self._attempt(demand, chooser, work_s)
+            except BalancingError as error:
+                left_s = deadline - self._loop.time()
+                if not returns_left or error.retry_after_s > left_s * RETURN_SHARE:
+                    raise
+                await asyncio.sleep(error.retry_after_s)
+                chooser = self._generator.choice(self._choosers)
+        raise AssertionError("unreachable")
+
+    def _build_demand(self, call: CallShape, deadline: float) -> Demand:
+        now = self._loop.time()
+        return Demand(
+            request_id="",
+            kind=f"work-{call.work_s}",
+            priority=call.priority,
+            arrived=now,
+            target_at=now + call.target_s,
+            deadline=deadline,
+        )
+
     async def _attempt(self, demand: Demand, chooser: Chooser, work_s: float) -> bool:
         view = await chooser.acquire(demand)
         started = self._loop.time()
--- a/measure/service_model.py
+++ b/measure/service_model.py
@@ -57,6 +57,8 @@
         self._noise_phase = self.generator.random() * self.shape.noise_period_s
         self._noise_seed = self.generator.getrandbits(32)
         self.runs = 0
+        # Runs that started above the knee.
+        self.crowded_runs = 0
 
     def get_slowness(self) -> float:
         """Returns how long work takes now, 1.0 meaning as usual."""
@@ -86,6 +88,7 @@
         try:
             self.runs += 1
             crowded = self.running > self.shape.knee_share * self.shape.slots
+            self.crowded_runs += crowded
             slowdown = self.shape.knee_slowdown if crowded else 1.0
             await asyncio.sleep(work_s * self.get_slowness() * slowdown)
         finally:
--- a/src/verbenacross/balancing/probe_rounds.py
+++ b/src/verbenacross/balancing/probe_rounds.py
@@ -23,7 +23,7 @@
 # How long a round is waited for; a round trip takes about 5 ms.
 PROBE_WAIT_S = 0.010
 # Reports younger than this need no new probe, in seconds.
-FRESH_S = 0.008
+FRESH_S = 0.020
 # A report this old still tells which upstreams are worth a probe.
 HINT_S = 0.350
 # A machine above this slowness is not worth a probe while others are.
--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -11,7 +11,7 @@
 
 from .ejection import is_on_trial, note_failure, note_success
 from .exceptions import BalancingError, DeadlineUnreachableError, NoUpstreamError
-from .finish_estimate import Estimate, count_useful_slots, estimate_finish
+from .finish_estimate import count_useful_slots, estimate_finish
 from .outcome import Abandoned, Answered, Failed, NotRun, Unreachable
 from .probe_rounds import ProbeRounds
 from .upstream_view import UpstreamView
@@ -32,10 +32,11 @@
 USABLE_S = 0.250
 # Oldest report that is used when probes are not to be had.
 STALE_S = 3.0
-# Waiting requests above which upstreams are kept at their best load.
-MAX_CROWDING_WAITERS = 3
-# Pause between two rounds while requests wait.
-ROUND_PAUSE_S = 0.008
+# While more requests than this can still meet their target, others are refused.
+MAX_TIMELY_WAITERS = 3
+# Pause between two rounds while the same requests wait; a free slot turns up somewhere
+# about that often at a crest.
+ROUND_PAUSE_S = 0.050
 # A finish within this share of the time to the target is good enough.
 COMFORT_SHARE = 0.85
 # Share of upstreams below which suspect or ejected ones are used as well.
@@ -256,7 +257,8 @@
         for waiter in self._waiters:
             if waiter.granted.done():
                 continue
-            view = self._pick(waiter.demand, self._find_tier(waiter.demand, tiers), now)
+            tier = self._find_tier(waiter.demand, tiers, now)
+            view = self._pick(waiter.demand, tier, now)
             if view is not None:
                 self._grant(waiter, view, now)
             elif not self._refuse_late(waiter, len(left), now):
@@ -273,10 +275,13 @@
         ]
 
     def _find_tier(
-        self, demand: Demand, tiers: list[list[UpstreamView]]
+        self, demand: Demand, tiers: list[list[UpstreamView]], now: float
     ) -> list[UpstreamView]:
-        """Returns the best known upstreams among which a request has a choice."""
-        for tier in tiers:
+        """Returns the best known upstreams among which a request has a choice.
+
+        A late request may take one that was slow a while ago and not asked since.
+        """
+        for tier in tiers[1:] if self._is_late(demand, now) else tiers:
             if any(view.upstream.id not in demand.excluded for view in tier):
                 return tier
         return []
@@ -288,45 +293,35 @@
 
     def _is_late(self, demand: Demand, now: float) -> bool:
         """Returns whether a request cannot meet its target any more."""
-        return now + self.work.get(demand.kind) > demand.target_at
+        work_s = self.work.get(demand.kind)
+        return work_s > (demand.target_at - now) * COMFORT_SHARE
 
     def _pick(
         self, demand: Demand, views: Iterable[UpstreamView], now: float
     ) -> UpstreamView | None:
-        """Returns the upstream that would finish first, if that is worth sending."""
+        """Returns the upstream that would finish first, if that is worth sending.
+
+        Upstreams at their best load get nothing: one request more makes them do less
+        work in all. A request that cannot meet its target any more takes what is left,
+        also machines that neighbours slow down.
+        """
         work_s = self.work.get(demand.kind)
         best: UpstreamView | None = None
-        best_estimate = Estimate(0.0, 0)
+        best_finish_s = 0.0
         for view in views:
             if view.upstream.id in demand.excluded or is_on_trial(view):
                 continue
             estimate = estimate_finish(view, work_s, self._failure_domain, now)
-            if best is None or estimate.finish_s < best_estimate.finish_s:
-                best, best_estimate = view, estimate
-        if best is None or self._is_too_full(best, best_estimate):
-            return None
-        to_target = demand.target_at - now
-        if best_estimate.finish_s <= to_target * COMFORT_SHARE:
-            return best
-        if work_s <= to_target * COMFORT_SHARE:
-            # A better upstream may still turn up in time.
-            return None
-        return best if best_estimate.finish_s <= demand.deadline - now else None
-
-    def _is_too_full(self, view: UpstreamView, estimate: Estimate) -> bool:
-        """Returns whether one more request would cost other requests too much.
-
-        A few waiting requests may take slots that slow an upstream down, since a free
-        one elsewhere is only found by probes. With many, such slots cost more than they
-        give.
-        """
-        if len(self._waiters) > MAX_CROWDING_WAITERS:
-            return estimate.excess > 0
-        slots = view.upstream.slots
-        return estimate.excess > slots - count_useful_slots(slots)
-
-    def _estimate_for(self, view: UpstreamView, work_s: float, now: float) -> Estimate:
-        return estimate_finish(view, work_s, self._failure_domain, now)
+            if estimate.excess:
+                continue
+            if best is None or estimate.finish_s < best_finish_s:
+                best, best_finish_s = view, estimate.finish_s
+        if best is None or self._is_late(demand, now):
+            limit_s = demand.deadline - now
+        else:
+            # Otherwise a better upstream may still turn up in time.
+            limit_s = (demand.target_at - now) * COMFORT_SHARE
+        return best if best_finish_s <= limit_s else None
 
     def _grant(self, waiter: Waiter, view: UpstreamView, now: float) -> None:
         view.note_send(now)
@@ -345,7 +340,7 @@
         wait_s = self._predict_wait(before, work_s, now)
         fits = now + wait_s + work_s <= demand.deadline
         # While many can still meet their targets, those that cannot would wait in vain.
-        is_hopeless = before > MAX_CROWDING_WAITERS and self._is_late(demand, now)
+        is_hopeless = before > MAX_TIMELY_WAITERS and self._is_late(demand, now)
         if fits and not is_hopeless:
             return False
         message = f"service {self.service!r} cannot answer before the deadline"
--- a/tests/balancing/test_choice.py
+++ b/tests/balancing/test_choice.py
@@ -248,3 +248,36 @@
         return len(views)
 
     assert run(work) == 3
+
+
+def test_single_request_does_not_crowd_an_upstream_at_its_best_load():
+    """A start on the fifth of six slots takes 1.7 times as long, so waiting is better.
+
+    Each of many instances has only a few waiting requests at a crest.
+    """
+
+    async def work():
+        prober = FixedProber(u1=report(running=4), u2=report(running=5))
+        balancer = build_balancer(prober, "u1", "u2")
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.06, prober.answers.update, {"u2": report(running=3)})
+        view = await balancer.acquire(build_demand(target_s=0.3, deadline_s=1.0))
+        return view.upstream.id, loop.time()
+
+    chosen, at = run(work)
+    assert chosen == "u2"
+    assert 0.06 <= at < 0.15
+
+
+def test_late_request_takes_a_slowed_machine_while_the_fast_ones_are_full():
+    """It would be refused otherwise, though a machine could answer it."""
+
+    async def work():
+        prober = FixedProber(u1=report(running=4), u2=report(slowness=7.0))
+        balancer = build_balancer(prober, "u1", "u2")
+        view = await balancer.acquire(build_demand(target_s=0.05, deadline_s=1.5))
+        return view.upstream.id, asyncio.get_running_loop().time()
+
+    chosen, at = run(work)
+    assert chosen == "u2"
+    assert at < 0.1
--- a/tests/balancing/test_load_patterns.py
+++ b/tests/balancing/test_load_patterns.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
 from measure.service_model import ServiceShape
 
-from .patterns import play
+from .patterns import SHORT_CALL, play
 
 SEEDS = [1, 2, 3]
 # Of a central queue's latency.
@@ -49,6 +51,34 @@
     assert balanced.failed <= BLIND_FACTOR * blind.failed
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_crest_at_which_refused_callers_come_back(seed):
+    """Demand stays at what all upstreams can do at their best load.
+
+    Each instance has few waiting requests, though all have many together. A run that
+    starts on a crowded upstream takes longer, so less work is done in all.
+    """
+    call = dataclasses.replace(SHORT_CALL, returns=1)
+    shape = ServiceShape(upstreams=12)
+    shares = {}
+    for name in ("balancer", "own-count"):
+        models = []
+        play(
+            name,
+            lambda _: 350.0,
+            seed=seed,
+            length_s=6.0,
+            shape=shape,
+            call=call,
+            prepare=models.append,
+        )
+        upstreams = models[0].upstreams.values()
+        crowded = sum(upstream.crowded_runs for upstream in upstreams)
+        shares[name] = crowded / sum(upstream.runs for upstream in upstreams)
+
+    assert shares["balancer"] <= BLIND_FACTOR * shares["own-count"]
+
+
 def test_normal_service_soon_after_a_crest():
     """What arrives a second after the crest is served as if there had been none."""
 
