Fault soak of the node program

tests/soak plays a seed: three node processes, five upstreams and a store with faults, links through loopback proxies that delay, cut, silence and reset, processes that are stopped, paused, killed and restarted, and changes that come in series and overlap. It checks from what callers and upstreams see: at most once, refusals that are true, whole and own answers, configuration and drains in force within 2 s, no answer lost that was passed on, graceful stops within their time, recovery. Two faults of the stand-in upstream are mended: a second read on a connection whose first one was not over broke it, and cancelled connections printed tracebacks.

--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -102,6 +102,9 @@
                 pass
         except (OSError, asyncio.IncompleteReadError):
             pass
+        except asyncio.CancelledError:
+            # The stand-in closes; nobody awaits the tasks of its connections.
+            pass
         finally:
             self._tasks.discard(task)
             writer.close()
@@ -213,6 +216,8 @@
             run.was_cut = True
             raise ConnectionResetError
         closed.cancel()
+        # Two reads at once would break the connection.
+        await asyncio.wait({closed})
 
     async def _answer_early(
         self,
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,70 @@
+"""Plays one seed of the fault soak."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import tempfile
+import time
+from contextlib import AsyncExitStack
+from typing import NamedTuple
+
+from .callers import Callers
+from .faults import Faults
+from .fleet import SoakFleet
+from .promises import find_violations
+
+# Time after the last fault until service must be normal, as in the users' bounds.
+RECOVERY_S = 4.0
+NORMAL_S = 1.5
+
+
+class Outcome(NamedTuple):
+    """What came of a seed; ``report`` holds faults, violations and all log lines."""
+
+    seed: int
+    calls: int
+    served: int
+    faults: int
+    violations: list[str]
+    report: str
+
+
+async def play(seed: int, length_s: float) -> Outcome:
+    """Plays a seed with faults for ``length_s``."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with AsyncExitStack() as stack:
+            fleet = SoakFleet(stack, pathlib.Path(folder))
+            await fleet.open()
+            callers, faults = Callers(fleet, seed), Faults(fleet, seed)
+            started_at = time.monotonic()
+            calling = asyncio.create_task(callers.run())
+            await faults.run(length_s)
+            await asyncio.sleep(RECOVERY_S)
+            recovered_at = time.monotonic()
+            await asyncio.sleep(NORMAL_S)
+            callers.stop()
+            await calling
+            violations = [*find_violations(fleet, callers.calls, recovered_at)]
+            lines = [f"{at - started_at:7.3f} {text}" for at, text in faults.injected]
+            lines += violations
+            lines += [
+                f"call {call.sent_at - started_at:7.3f} {call}"
+                for call in callers.calls
+                if call.status != 200
+            ]
+            lines += [
+                f"{node.name} {json.dumps(line)}"
+                for node in fleet.site.nodes
+                for line in node.lines
+            ]
+    served = sum(call.status == 200 for call in callers.calls)
+    return Outcome(
+        seed,
+        len(callers.calls),
+        served,
+        len(faults.injected),
+        violations,
+        "\n".join(lines),
+    )
