Start the process of the interrupt test with the interrupt not ignored

A shell without job control starts background jobs with SIGINT ignored; the agent inherits that, and Python then installs no handler. Trace: fails each time below `trap '' INT`, passes without. Change: the test starts the agent with the default action; exit code and log are checked as before. The stand-in upstream retrieves the error of its watched connection.

--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -214,10 +214,10 @@
         done, _ = await asyncio.wait({closed}, timeout=self.work_s)
         if done:
             run.was_cut = True
-            raise ConnectionResetError
+            raise ConnectionResetError from closed.exception()
         closed.cancel()
         # Two reads at once would break the connection.
-        await asyncio.wait({closed})
+        await asyncio.gather(closed, return_exceptions=True)
 
     async def _answer_early(
         self,
--- a/tests/console/test_processes.py
+++ b/tests/console/test_processes.py
@@ -80,8 +80,16 @@
 
 
 def test_interrupt_ends_a_process_without_traceback(fleet):
-    """Guards operators who start a process by hand and press Control-C."""
-    fleet.add_instance("two", with_entry=False)
+    """Guards operators who start a process by hand and press Control-C.
+
+    A shell starts its background jobs with the interrupt ignored, which processes
+    inherit, so the test must not pass on its own.
+    """
+    inherited = signal.signal(signal.SIGINT, signal.default_int_handler)
+    try:
+        fleet.add_instance("two", with_entry=False)
+    finally:
+        signal.signal(signal.SIGINT, inherited)
     fleet.wait_ready()
     fleet.signal("two-agent", signal.SIGINT)
     assert fleet.processes["two-agent"].wait(10) == 130
