Let few instances watch the store at a start and after resets

The fixture of tests/node/test_news.py now waits until all nodes know each other: it relied on the 2 s, and a node that is cut off before it knows another one can only ask seeds (new test).

--- a/src/verbenacross/documents/fields.py
+++ b/src/verbenacross/documents/fields.py
@@ -46,6 +46,14 @@
         self.note(name, "must be a list of texts")
         return []
 
+    def get_bool(self, name: str, *, default: bool) -> bool:
+        """Returns a truth value."""
+        value = self._fields.get(name, default)
+        if isinstance(value, bool):
+            return value
+        self.note(name, "must be true or false")
+        return default
+
     def get_int(self, name: str, minimum: int, default: int | None = None) -> int:
         """Returns a whole number of at least ``minimum``."""
         value = self._fields.get(name, default)
--- a/src/verbenacross/feed/subscription.py
+++ b/src/verbenacross/feed/subscription.py
@@ -8,7 +8,7 @@
 
 import logbook
 from websockets.asyncio.client import connect
-from websockets.exceptions import WebSocketException
+from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from .codec import MAX_MESSAGE_BYTES, decode_message, encode_message
 from .exceptions import FeedError
@@ -22,6 +22,9 @@
 # A peer that is alive sends a heartbeat every quarter of a second.
 SILENCE_S = 0.75
 CONNECT_TIMEOUT_S = 0.4
+# A peer that begins to read because it is asked is in touch after a step of its
+# synchronizer and a call to the store.
+START_S = 0.5
 
 logger = logbook.Logger("verbenacross.feed.subscription")
 
@@ -31,7 +34,7 @@
 
     It ends when the peer falls silent, and tells whether the peer is in touch with the
     store; ``on_contact`` is called when it is so again. ``failed`` is set once it has
-    ended.
+    ended, ``is_peer_lost`` if another connection to the peer is not worth a try.
     """
 
     def __init__(
@@ -45,21 +48,24 @@
         self.peer = peer
         self.address = address
         self.failed = False
+        self.is_peer_lost = False
         self._own = own
         self._log = log
         self._on_contact = on_contact
         self._fresh_at = -float("inf")
         self._is_fresh = False
-        self._heard = False
-        self.fresh_since = float("inf")
+        self._was_fresh = False
+        self._heard_at: float | None = None
 
     def is_fresh(self) -> bool:
         """Returns whether the peer was in touch with the store just now."""
         return self._is_fresh and time.monotonic() - self._fresh_at < SILENCE_S
 
     def is_out_of_touch(self) -> bool:
-        """Returns whether the peer is alive but lost touch with the store."""
-        return self._heard and not self.is_fresh()
+        """Returns whether the peer is alive but not in touch with the store."""
+        if self.failed or self._heard_at is None or self.is_fresh():
+            return False
+        return self._was_fresh or time.monotonic() - self._heard_at > START_S
 
     async def run(self) -> None:
         """Takes records until the peer falls silent or the task is cancelled."""
@@ -94,13 +100,14 @@
             raise FeedError("the message is no update")
         if message.is_fresh and not self._is_fresh:
             self._on_contact()
-            self.fresh_since = time.monotonic()
+            self._was_fresh = True
             logger.info("peer is in touch with the store", extra={"peer": self.peer})
         elif not message.is_fresh and self._is_fresh:
             logger.info("peer lost touch with the store", extra={"peer": self.peer})
         self._is_fresh = message.is_fresh
-        self._heard = True
         self._fresh_at = time.monotonic()
+        if self._heard_at is None:
+            self._heard_at = self._fresh_at
         self._log.take(
             message.records,
             message.revision,
@@ -110,6 +117,9 @@
 
     def _end(self, error: Exception) -> None:
         self.failed = True
+        # A connection can be reset or go silent although its peer is well.
+        ended = isinstance(error, TimeoutError | ConnectionClosed)
+        self.is_peer_lost = self._heard_at is None or not ended
         self._is_fresh = False
         logger.info(
             "subscription ended", extra={"peer": self.peer, "reason": repr(error)}
--- a/src/verbenacross/feed/synchronizer.py
+++ b/src/verbenacross/feed/synchronizer.py
@@ -23,12 +23,20 @@
 SUBSCRIPTIONS = 2
 # A source that failed is not asked again for so long, in seconds.
 AVOID_S = 2.0
+# The same for a seed, which may have started a moment later than this instance.
+SEED_PAUSE_S = 0.3
 # An instance without a fresh source reads the store itself after this time, in seconds.
-ALONE_S = 0.2
-# It stops reading when its sources have been fresh for so long, in seconds.
-SETTLED_S = 2.0
-# A reader whose last subscriber left keeps reading for so long, in seconds.
-LINGER_S = 4.0
+# Peers that begin to read for it, or find a silent connection, are in touch sooner.
+ALONE_S = 0.6
+# A reader that lost the store looks for a source after this time, in seconds, unless
+# only its connection had gone silent.
+READER_ALONE_S = 0.3
+# As ALONE_S, when the whole system starts for the first time. Nobody calls yet, and an
+# instance that is a seed has read the store by then.
+FIRST_START_ALONE_S = 1.0
+# A reader whose last subscriber left keeps reading for so long, in seconds: a
+# subscriber whose connection was reset is back by then.
+LINGER_S = 1.0
 
 logger = logbook.Logger("verbenacross.feed.synchronizer")
 
@@ -37,7 +45,9 @@
     """Decides how this instance learns the store's records.
 
     The first instance of each failure domain reads the store, and so does each one that
-    has subscribers or lacks a fresh source. All others subscribe to two of these.
+    has subscribers or lacks a fresh source. All others subscribe to two of these. While
+    no instance is known, seeds are asked, and ``is_first_start`` tells that these are
+    about to read the store.
     ``on_return`` is called when the store is back after nobody could tell of it.
     """
 
@@ -50,6 +60,8 @@
         log: RecordLog,
         get_members: Callable[[], list[Member]],
         on_return: Callable[[], None],
+        *,
+        is_first_start: bool,
     ) -> None:
         self._own = own
         self.set_seeds(seeds)
@@ -62,7 +74,12 @@
         self._reading: asyncio.Task[None] | None = None
         self._subscriptions: dict[Subscription, asyncio.Task[None]] = {}
         self._avoided: dict[str, float] = {}
-        self._fresh_at = time.monotonic()
+        # When the store was last in touch with this instance itself.
+        self._read_at = -float("inf")
+        # When it last was so with any source.
+        self._fresh_at = -float("inf")
+        if is_first_start and self._seeds and own.address not in seeds:
+            self._fresh_at = time.monotonic() + FIRST_START_ALONE_S - ALONE_S
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Sets the addresses that are asked while no member is known."""
@@ -86,6 +103,8 @@
                 task.cancel()
 
     def _step(self, now: float) -> None:
+        if self._reader.is_fresh():
+            self._read_at = now
         if self.is_fresh():
             self._fresh_at = now
         members = self._get_members()
@@ -99,22 +118,18 @@
         """Takes that a source is in touch with the store again, before its records."""
         if not self.is_fresh() and self._log.revision:
             self._on_return()
+        # Subscribers need not look for another source.
+        self._publisher.wake()
 
     def _is_reader(self, members: list[Member], now: float) -> bool:
-        readers = find_readers(members)
-        if not readers or self._own.instance in {reader.instance for reader in readers}:
+        if self._own.instance in {reader.instance for reader in find_readers(members)}:
             return True
         publisher = self._publisher
         if publisher.subscribers or now - publisher.last_subscriber_at < LINGER_S:
             return True
-        fresh = [
-            subscription
-            for subscription in self._subscriptions
-            if subscription.is_fresh()
-        ]
         if self._reading is None:
             return now - self._fresh_at > ALONE_S
-        return not any(now - source.fresh_since > SETTLED_S for source in fresh)
+        return not any(source.is_fresh() for source in self._subscriptions)
 
     def _start_reading(self) -> None:
         if self._reading is None or self._reading.done():
@@ -132,13 +147,11 @@
         for subscription in [*self._subscriptions]:
             if subscription.failed:
                 self._subscriptions.pop(subscription)
-            if subscription.failed or subscription.is_out_of_touch():
-                self._avoided[subscription.peer] = now + AVOID_S
-        wanted = [
-            member
-            for member in self._find_sources(members)
-            if now >= self._avoided.get(member.instance, 0.0)
-        ][:SUBSCRIPTIONS]
+            is_lost = subscription.is_peer_lost or subscription.is_out_of_touch()
+            if is_lost:
+                pause_s = SEED_PAUSE_S if subscription.peer in self._seeds else AVOID_S
+                self._avoided[subscription.peer] = now + pause_s
+        wanted = self._find_sources(members, now)
         used = {subscription.peer for subscription in self._subscriptions}
         for member in wanted:
             if member.instance not in used:
@@ -158,14 +171,25 @@
             if subscription.peer not in wanted:
                 self._subscriptions.pop(subscription).cancel()
 
-    def _find_sources(self, members: list[Member]) -> list[Member]:
+    def _find_sources(self, members: list[Member], now: float) -> list[Member]:
+        seeds = [
+            Member(seed, seed, "")
+            for seed in self._seeds
+            if now >= self._avoided.get(seed, 0.0)
+        ]
         if not members:
-            seeds = [Member(seed, seed, "") for seed in self._seeds]
-            return [] if self._log.revision else seeds
+            return [] if self._reader.is_fresh() else seeds
         readers = {reader.instance for reader in find_readers(members)}
-        if self._own.instance in readers and self._reader.is_fresh():
+        is_reader = self._own.instance in readers
+        if is_reader and now - self._read_at <= READER_ALONE_S:
             return []
-        return order_sources(members, self._own)
+        sources = [
+            member
+            for member in order_sources(members, self._own)
+            if now >= self._avoided.get(member.instance, 0.0)
+        ]
+        # Seeds may be instances that were not known yet when the store was lost.
+        return [*sources, *seeds][:SUBSCRIPTIONS]
 
     def _subscribe(self, member: Member) -> None:
         subscription = Subscription(
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -82,6 +82,7 @@
             self.log,
             lambda: list(self.knowledge.members.values()),
             self.knowledge.expect_returns,
+            is_first_start=settings.is_first_start,
         )
         prober = UpstreamProber(sessions.probes, self._find_health_path)
         self.balancers = Balancers(settings, self.knowledge, prober)
--- a/src/verbenacross/node/settings.py
+++ b/src/verbenacross/node/settings.py
@@ -16,7 +16,8 @@
 class NodeSettings(NamedTuple):
     """Settings of the node program; durations are in seconds.
 
-    ``seeds`` are peer addresses of other instances that may be stale. The process is
+    ``seeds`` are peer addresses of instances that may be stale. ``is_first_start`` says
+    that all instances start and none has ever run before. The process is
     killed ``grace_period_s`` after it was told to stop. Repeats and probes are limits
     over all instances together.
     """
@@ -28,6 +29,7 @@
     peer_listen: Address
     metrics_listen: Address
     seeds: tuple[str, ...]
+    is_first_start: bool
     store: str
     memory_mb: int
     max_descriptors: int
@@ -63,6 +65,7 @@
             peer_listen=root.get_address("peer_listen"),
             metrics_listen=root.get_address("metrics_listen"),
             seeds=tuple(root.get_texts("seeds")),
+            is_first_start=root.get_bool("is_first_start", default=False),
             store=root.get_text("store"),
             memory_mb=root.get_int("memory_mb", 1),
             max_descriptors=root.get_int("max_descriptors", 1),
--- /dev/null
+++ b/tests/feed/test_synchronizer.py
@@ -0,0 +1,339 @@
+"""Which instances read the store, and how the others learn."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+
+import pytest
+
+from standins.fleet import find_free_ports
+from verbenacross.documents.address import Address
+from verbenacross.feed.members import Member, find_readers
+from verbenacross.feed.publisher import Publisher
+from verbenacross.feed.record_log import RecordLog
+from verbenacross.feed.store_reader import StoreReader
+from verbenacross.feed.synchronizer import SUBSCRIPTIONS, Synchronizer
+from verbenacross.infrastructure.exceptions import StoreUnavailableError
+from verbenacross.infrastructure.key_value_store import StoredValue, StoreSnapshot
+
+TIMEOUT_S = 5.0
+CHECK_TIMEOUT_S = 0.4
+# Within this time, an instance that is well must learn what changed.
+NEWS_BOUND_S = 2.0
+
+
+class Store:
+    """A store whose keys are the members'; ``refused`` names who is not served."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, StoredValue] = {}
+        self.revision = 1
+        self.refused: set[str] = set()
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, data: bytes) -> None:
+        self.revision += 1
+        self.values[key] = StoredValue(key, data, self.revision)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class StoreConnection:
+    """An instance's way to the store: a connection for watches and one for the rest.
+
+    Those in ``silent`` answer nothing; a call that times out replaces its connection.
+    """
+
+    def __init__(self, store: Store, instance: str) -> None:
+        self.store = store
+        self.silent: set[str] = set()
+        self.instance = instance
+        self.reads = 0
+        self.watches = 0
+
+    async def read_prefix(self, prefix: str) -> StoreSnapshot:
+        self.reads += 1
+        await self._ask()
+        return StoreSnapshot(self.store.revision, tuple(self.store.values.values()))
+
+    async def watch(self, prefix: str, revision: int, wait_ms: int) -> StoreSnapshot:
+        self.watches += 1
+        self.silent.discard("watch")
+        await self._ask()
+        if self.store.revision == revision:
+            try:
+                async with asyncio.timeout(wait_ms / 1_000):
+                    await self.store._changed.wait()
+            except TimeoutError:
+                pass
+        if "watch" in self.silent:
+            await asyncio.Event().wait()
+        await self._ask()
+        values = [v for v in self.store.values.values() if v.revision > revision]
+        return StoreSnapshot(self.store.revision, tuple(values))
+
+    async def check(self) -> None:
+        if "check" in self.silent:
+            await asyncio.sleep(CHECK_TIMEOUT_S)
+            self.silent.discard("check")
+            raise StoreUnavailableError("no answer")
+        await self._ask()
+
+    async def _ask(self) -> None:
+        await asyncio.sleep(0.002)
+        if self.instance in self.store.refused:
+            raise StoreUnavailableError("refused")
+
+
+class ResettablePublisher(Publisher):
+    """A publisher whose connections a test can reset."""
+
+    def __init__(self, log, is_fresh) -> None:
+        super().__init__(log, is_fresh)
+        self.connections = set()
+
+    async def _handle(self, connection) -> None:
+        self.connections.add(connection)
+        await super()._handle(connection)
+
+    def reset_connections(self) -> None:
+        for connection in self.connections:
+            connection.transport.abort()
+        self.connections.clear()
+
+    def silence_connections(self) -> None:
+        for connection in self.connections:
+            # The subscriber sees neither data nor an end.
+            connection.transport.write = lambda data: None
+            connection.transport.writelines = lambda data: None
+        self.connections.clear()
+
+
+class Instance:
+    """An instance without its data path."""
+
+    def __init__(self, store: Store, member: Member, seeds=(), first=False) -> None:
+        self.member = member
+        self.log = RecordLog()
+        self.store = StoreConnection(store, member.instance)
+        self.reader = StoreReader(self.store, "", self.log)
+        self.publisher = ResettablePublisher(self.log, self.reader.is_fresh)
+        self.synchronizer = Synchronizer(
+            member,
+            tuple(seeds),
+            self.reader,
+            self.publisher,
+            self.log,
+            self.find_members,
+            lambda: None,
+            is_first_start=first,
+        )
+
+    def find_members(self) -> list[Member]:
+        records = self.log.find_since(0)[0]
+        return [Member.from_data(record.key, record.value) for record in records]
+
+    def is_reading(self) -> bool:
+        return self.synchronizer._reading is not None
+
+
+async def wait_until(check) -> None:
+    async with asyncio.timeout(TIMEOUT_S):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+class Fleet:
+    """Instances of two failure domains in one process."""
+
+    def __init__(self, stack: AsyncExitStack, count: int) -> None:
+        self.stack = stack
+        self.store = Store()
+        self.members = [
+            Member(f"node-{number}", f"127.0.0.1:{port}", "ab"[number % 2])
+            for number, port in enumerate(find_free_ports(count))
+        ]
+
+    def register(self, member: Member) -> None:
+        self.store.put(member.instance, member.to_data())
+
+    async def start(self, member: Member, **options) -> Instance:
+        instance = Instance(self.store, member, **options)
+        address = Address.from_text(member.address)
+        await instance.publisher.listen(self.stack, address)
+        task = asyncio.create_task(instance.synchronizer.run())
+        self.stack.callback(task.cancel)
+        return instance
+
+    async def settle(self) -> tuple[list[Instance], list[Instance]]:
+        """Starts all instances; returns the readers and the others once settled."""
+        for member in self.members:
+            self.register(member)
+        instances = [await self.start(member) for member in self.members]
+        names = {member.instance for member in find_readers(self.members)}
+        readers = [i for i in instances if i.member.instance in names]
+        others = [i for i in instances if i not in readers]
+        await wait_until(lambda: not any(other.is_reading() for other in others))
+        await wait_until(lambda: all(other.synchronizer.is_fresh() for other in others))
+        # Readers of the start linger.
+        await asyncio.sleep(1.5)
+        return readers, others
+
+
+@pytest.fixture
+async def stack():
+    async with AsyncExitStack() as stack:
+        yield stack
+
+
+async def test_restarted_instances_hardly_watch_the_store(stack):
+    """All instances of a system come back at once; each one's record changes."""
+    fleet = Fleet(stack, 12)
+    for member in fleet.members:
+        fleet.register(member)
+    instances = [await fleet.start(member) for member in fleet.members]
+    for member in fleet.members:
+        await asyncio.sleep(0.05)
+        fleet.register(member)
+
+    names = {member.instance for member in find_readers(fleet.members)}
+    others = [i for i in instances if i.member.instance not in names]
+    await wait_until(lambda: not any(other.is_reading() for other in others))
+    await asyncio.sleep(1.5)
+
+    # A few stand in for readers that are not up yet.
+    assert sum(other.store.watches for other in others) <= 2 * len(others)
+    assert all(other.log.revision == fleet.store.revision for other in others)
+
+
+async def test_first_start_reads_through_seeds(stack):
+    fleet = Fleet(stack, 12)
+    seeds = [member.address for member in fleet.members[:3]]
+    instances = []
+    # Seeds start last.
+    for member in reversed(fleet.members):
+        instances.append(await fleet.start(member, seeds=seeds, first=True))
+        await asyncio.sleep(0.02)
+    for member in fleet.members:
+        fleet.register(member)
+
+    await wait_until(
+        lambda: all(i.log.revision == fleet.store.revision for i in instances)
+    )
+    await asyncio.sleep(1.5)
+
+    assert sum(i.store.reads for i in instances) == len(seeds)
+    names = {member.instance for member in find_readers(fleet.members)}
+    assert {i.member.instance for i in instances if i.is_reading()} == names
+    assert all(i.synchronizer.is_fresh() for i in instances)
+
+
+async def test_first_start_without_any_seed_alive(stack):
+    fleet = Fleet(stack, 2)
+    dead = [f"127.0.0.1:{port}" for port in find_free_ports(3)]
+
+    instance = await fleet.start(fleet.members[0], seeds=dead, first=True)
+
+    await wait_until(instance.synchronizer.is_fresh)
+
+
+async def test_reset_connections_make_nobody_else_read(stack):
+    """Incident inc-b960: connections between instances are reset at one moment."""
+    fleet = Fleet(stack, 10)
+    readers, others = await fleet.settle()
+    before = sum(other.store.watches for other in others)
+
+    for reader in readers:
+        reader.publisher.reset_connections()
+    await asyncio.sleep(1.0)
+
+    assert sum(other.store.watches for other in others) == before
+    assert all(other.synchronizer.is_fresh() for other in others)
+
+
+async def test_connections_that_go_silent_make_nobody_else_read(stack):
+    """All open connections go silent at one moment; new ones work."""
+    fleet = Fleet(stack, 10)
+    readers, others = await fleet.settle()
+    before = sum(other.store.watches for other in others)
+
+    for reader in readers:
+        reader.publisher.silence_connections()
+        reader.store.silent |= {"watch", "check"}
+    fleet.register(fleet.members[0])
+    async with asyncio.timeout(NEWS_BOUND_S):
+        while any(i.log.revision < fleet.store.revision for i in readers + others):
+            await asyncio.sleep(0.01)
+    await asyncio.sleep(1.0)
+
+    assert sum(other.store.watches for other in others) == before
+    assert all(other.synchronizer.is_fresh() for other in others)
+
+
+async def test_refused_readers_are_replaced_by_few(stack):
+    fleet = Fleet(stack, 24)
+    readers, others = await fleet.settle()
+    before = sum(other.store.watches for other in others)
+
+    fleet.store.refused |= {reader.member.instance for reader in readers}
+    await asyncio.sleep(0.5)
+    fleet.register(fleet.members[0])
+    await wait_until(
+        lambda: all(other.log.revision == fleet.store.revision for other in others)
+    )
+
+    reading = [other for other in others if other.is_reading()]
+    # The next in line of each failure domain, and whom these ask themselves.
+    assert len(reading) <= len(readers) * (SUBSCRIPTIONS + 1)
+    # A first answer, a wait that the change ends, and the next wait.
+    assert sum(other.store.watches for other in others) - before <= 3 * len(reading)
+
+
+async def test_instance_that_knows_no_other_asks_seeds(stack):
+    """It loses the store before it has learned who else there is."""
+    fleet = Fleet(stack, 2)
+    alone, other = fleet.members
+    fleet.register(alone)
+    instance = await fleet.start(alone, seeds=[other.address])
+    await wait_until(instance.reader.is_fresh)
+    await fleet.start(other)
+
+    fleet.store.refused.add(alone.instance)
+    await asyncio.sleep(0.1)
+    fleet.register(other)
+
+    async with asyncio.timeout(NEWS_BOUND_S):
+        while instance.log.revision < fleet.store.revision:
+            await asyncio.sleep(0.01)
+
+
+async def test_reader_that_begins_to_read_tells_at_once(stack):
+    """A watch from a known revision is answered only when something changes."""
+    store = Store()
+    connection = StoreConnection(store, "node")
+    log = RecordLog()
+    log.take((), store.revision, "peer", is_complete=True)
+    reader = StoreReader(connection, "", log)
+    task = asyncio.create_task(reader.run())
+    stack.callback(task.cancel)
+
+    async with asyncio.timeout(0.3):
+        while not reader.is_fresh():
+            await asyncio.sleep(0.01)
+
+
+async def test_reader_checks_before_it_watches_while_refused(stack):
+    store = Store()
+    store.refused.add("node")
+    connection = StoreConnection(store, "node")
+    log = RecordLog()
+    log.take((), store.revision, "peer", is_complete=True)
+    reader = StoreReader(connection, "", log)
+    task = asyncio.create_task(reader.run())
+    stack.callback(task.cancel)
+
+    await asyncio.sleep(1.0)
+
+    assert connection.watches == 0
+    assert reader.checks >= 2
--- a/tests/node/test_news.py
+++ b/tests/node/test_news.py
@@ -37,9 +37,17 @@
     for node in empty_site.nodes:
         await node.wait_ready()
     await wait_until(lambda: len(find_followers(empty_site)) == 2)
+    # Who is cut off from the store finds only those whom it knows.
+    for node in empty_site.nodes:
+        await wait_until(lambda node=node: knows_all(node, empty_site.nodes))
     return empty_site
 
 
+async def knows_all(node, nodes):
+    state = await node.read_state()
+    return len(state["knowledge"]["members"]) == len(nodes)
+
+
 def find_followers(site):
     """Returns the nodes that learn from peers at last."""
     followers = []
