Send at once where all upstreams fail alike

Their reports at the choices show 1.4 of six slots in use, yet requests waited 120 to 160 ms (median): the failure rate multiplies the estimated finish by up to five, so no upstream was good enough until the target was out of reach, and then up to 335 requests a second were refused. The same holds for upstreams that all call themselves ill. Ruled out: too few probes (reports were 2.5 ms old at the median), ejections (one to four a second, below half of the upstreams). Change: failures and bad health count only beyond what half of the upstreams have.

--- a/measure/service_model.py
+++ b/measure/service_model.py
@@ -32,7 +32,7 @@
 
 
 class ModelRejectedError(Exception):
-    """The modelled upstream is full and did not run the request."""
+    """The modelled upstream is full or sheds and did not run the request."""
 
 
 class ModelFailedError(Exception):
@@ -50,6 +50,8 @@
     slowdown: float = 1.0
     # Share of requests that fail at once though the health path is good.
     failing_share: float = 0.0
+    # Share of requests that are rejected without having run, whatever the load.
+    shedding_share: float = 0.0
     is_silent: bool = False
 
     def __post_init__(self) -> None:
@@ -81,6 +83,8 @@
         if self.generator.random() < self.failing_share:
             self.runs += 1
             raise ModelFailedError
+        if self.generator.random() < self.shedding_share:
+            raise ModelRejectedError
         if self.running >= self.shape.slots:
             await self._wait_for_slot()
         else:
--- a/src/verbenacross/balancing/finish_estimate.py
+++ b/src/verbenacross/balancing/finish_estimate.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from .upstream_view import UpstreamView
 
 # Share of slots in use above which upstreams slow down, and by how much. Five of six
@@ -20,7 +22,8 @@
 DOUBT_PER_S = 2.5
 # Above this age, another request has likely arrived since, in seconds.
 RECENT_S = 0.06
-# Weight of failures: one that fails always looks this much busier, plus one.
+# Weight of failures beyond the usual: one that fails always while others do not looks
+# this much busier, plus one.
 FAILURE_WEIGHT = 4.0
 # An upstream that calls itself ill though its answers are good may still be so.
 ILL_SLOWDOWN = 3.0
@@ -47,8 +50,34 @@
     return max(1, int(CROWDED_SHARE * slots))
 
 
+class CommonTroubles(NamedTuple):
+    """What is wrong with at least half of the upstreams.
+
+    It does not count against one of them: waiting for a better one is in vain.
+    """
+
+    failure_rate: float = 0.0
+    is_ill: bool = False
+
+    @classmethod
+    def from_views(cls, views: Sequence[UpstreamView]) -> CommonTroubles:
+        """Returns what the upstreams have in common."""
+        if not views:
+            return cls()
+        rates = sorted(view.failure_rate for view in views)
+        ill = sum(view.is_ill for view in views)
+        return cls(rates[(len(rates) - 1) // 2], 2 * ill > len(views))
+
+
+NO_TROUBLES = CommonTroubles()
+
+
 def estimate_finish(
-    view: UpstreamView, work_s: float, failure_domain: str, now: float
+    view: UpstreamView,
+    work_s: float,
+    failure_domain: str,
+    now: float,
+    common: CommonTroubles = NO_TROUBLES,
 ) -> Estimate:
     """Returns when an upstream would finish a request of the given work."""
     upstream = view.upstream
@@ -74,6 +103,7 @@
     finish_s *= doubt
     if upstream.failure_domain != failure_domain:
         finish_s += REMOTE_DELAY_S + REMOTE_SHARE * work_s
-    if view.is_ill:
+    if view.is_ill and not common.is_ill:
         finish_s *= ILL_SLOWDOWN
-    return Estimate(finish_s * (1 + FAILURE_WEIGHT * view.failure_rate), excess)
+    failure_excess = max(0.0, view.failure_rate - common.failure_rate)
+    return Estimate(finish_s * (1 + FAILURE_WEIGHT * failure_excess), excess)
--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -11,7 +11,11 @@
 
 from .ejection import is_on_trial, note_failure, note_success
 from .exceptions import BalancingError, DeadlineUnreachableError, NoUpstreamError
-from .finish_estimate import count_useful_slots, estimate_finish
+from .finish_estimate import (
+    CommonTroubles,
+    count_useful_slots,
+    estimate_finish,
+)
 from .outcome import Abandoned, Answered, Failed, NotRun, Unreachable
 from .probe_rounds import ProbeRounds
 from .upstream_view import UpstreamView
@@ -88,6 +92,7 @@
         self._pump: asyncio.Task[None] | None = None
         self._wake = asyncio.Event()
         self._grants: deque[float] = deque()
+        self._common_troubles = CommonTroubles()
 
     @property
     def waiting(self) -> int:
@@ -268,6 +273,7 @@
     def _find_tiers(self, now: float) -> list[list[UpstreamView]]:
         """Returns the usable upstreams by how well they are known, best first."""
         usable = self._find_usable()
+        self._common_troubles = CommonTroubles.from_views(usable)
         return [
             [view for view in usable if now - view.reported_at <= USABLE_S],
             [view for view in usable if now - view.reported_at <= STALE_S],
@@ -311,7 +317,9 @@
         for view in views:
             if view.upstream.id in demand.excluded or is_on_trial(view):
                 continue
-            estimate = estimate_finish(view, work_s, self._failure_domain, now)
+            estimate = estimate_finish(
+                view, work_s, self._failure_domain, now, self._common_troubles
+            )
             if estimate.excess:
                 continue
             if best is None or estimate.finish_s < best_finish_s:
--- a/tests/balancing/test_choice.py
+++ b/tests/balancing/test_choice.py
@@ -212,6 +212,32 @@
     assert run(work) <= 1.0 + 0.1
 
 
+def test_upstreams_that_all_call_themselves_ill_get_work_at_once():
+    """Answers on the health path may be false."""
+
+    async def work():
+        ill = ProbeAnswer(IDLE, is_well=False)
+        prober = FixedProber(u1=ill, u2=ill, u3=ill)
+        balancer = build_balancer(prober, "u1", "u2", "u3")
+        # The work takes as long as is usual; three times that would be too late.
+        balancer.work.add("work", 0.15, 1.0)
+        started = asyncio.get_running_loop().time()
+        await balancer.acquire(build_demand(target_s=0.3))
+        return asyncio.get_running_loop().time() - started
+
+    assert run(work) < 0.02
+
+
+def test_upstream_that_calls_itself_ill_comes_after_those_that_do_not():
+    async def work():
+        ill = ProbeAnswer(IDLE, is_well=False)
+        prober = FixedProber(u1=ill, u2=report(running=2), u3=report(running=2))
+        balancer = build_balancer(prober, "u1", "u2", "u3")
+        return (await balancer.acquire(build_demand())).upstream.id
+
+    assert run(work) != "u1"
+
+
 def test_request_that_is_late_anyway_makes_room_for_those_that_are_not():
     """Waiting for a turn that does not come costs the caller its retry."""
 
--- a/tests/balancing/test_load_patterns.py
+++ b/tests/balancing/test_load_patterns.py
@@ -123,6 +123,24 @@
     assert balanced.failed <= BLIND_FACTOR * blind.failed
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_all_upstreams_shed_half_of_their_work_though_idle(seed):
+    """None is better than the others, so waiting for one that is helps nobody."""
+    shedding_share = 0.5
+
+    def prepare(model):
+        for target in model.upstreams.values():
+            target.shedding_share = shedding_share
+
+    calm = play("balancer", lambda _: 200.0, seed=seed)
+    balanced = play("balancer", lambda _: 200.0, seed=seed, prepare=prepare)
+
+    assert balanced.refused <= calm.refused + 0.01 * balanced.total
+    # Half of the attempts are rejected, the others see fewer others at work.
+    accepted = balanced.in_time / (balanced.total * (1 - shedding_share))
+    assert accepted >= calm.in_time_share - 0.05
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_some_upstreams_fall_silent(seed):
     """Machines without power answer neither probes nor requests."""
