--- a/tests/feed/test_synchronizer.py
+++ b/tests/feed/test_synchronizer.py
@@ -30,13 +30,13 @@
         self.values: dict[str, StoredValue] = {}
         self.revision = 1
         self.refused: set[str] = set()
-        self._changed = asyncio.Event()
+        self.changed = asyncio.Event()
 
     def put(self, key: str, data: bytes) -> None:
         self.revision += 1
         self.values[key] = StoredValue(key, data, self.revision)
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self.changed.set()
+        self.changed = asyncio.Event()
 
 
 class StoreConnection:
@@ -64,7 +64,7 @@
         if self.store.revision == revision:
             try:
                 async with asyncio.timeout(wait_ms / 1_000):
-                    await self.store._changed.wait()
+                    await self.store.changed.wait()
             except TimeoutError:
                 pass
         if "watch" in self.silent:
