Wait for the restarted agent in the probe budget test

Ruled out: an exit of the agent, a clash of ports. Change: the test waits until the restarted agent answers, and then the 3 s as before. All checks are as they were.

--- a/tests/integration/test_upstream_knowledge.py
+++ b/tests/integration/test_upstream_knowledge.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Any
+from urllib.error import URLError
 
 import pytest
 
@@ -170,6 +171,7 @@
         rest = [name for name in NAMES if name != killed]
         paused = wait_for_holder(fleet, rest)
         fleet.start_agent(killed)
+        fleet.wait_until(lambda: answers(fleet, killed))
         time.sleep(3)
         fleet.signal(f"{paused}-agent", signal.SIGSTOP)
         others = [name for name in NAMES if name != paused]
@@ -192,6 +194,15 @@
         assert sent > 10 * PROBE_RATE
 
 
+def answers(fleet: Fleet, name: str) -> bool:
+    """Returns whether an agent answers questions for its state."""
+    try:
+        fleet.read_state(name)
+    except URLError:
+        return False
+    return True
+
+
 def probes_recently(fleet: Fleet) -> int:
     times = fleet.read_ledger("web-0")["probe_times"]
     return sum(t > time.time() - 1 for t in times)
