--- /dev/null
+++ b/review/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Shared code of the review's scripts: processes, stand-ins and the record."""
