--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -17,7 +17,7 @@
 from contextlib import AsyncExitStack
 from typing import Any
 
-from standins.platform_store import PlatformStoreStandIn
+from .store import BoundedHistoryStore
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
@@ -247,7 +247,7 @@
 
     async def open(self) -> None:
         """Starts the store's stand-in."""
-        self.store = await self.stack.enter_async_context(PlatformStoreStandIn())
+        self.store = await self.stack.enter_async_context(BoundedHistoryStore())
         self.endpoint = await self.store.open_endpoint()
         self.endpoint.delay_s = STORE_DELAY_S
 
