--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -8,7 +8,6 @@
 import pathlib
 import re
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -17,6 +16,8 @@
 from contextlib import AsyncExitStack
 from typing import Any
 
+from standins.fleet import find_free_ports
+
 from .store import BoundedHistoryStore
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -60,15 +61,6 @@
         self._file.close()
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Returns ports that are free now."""
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [opened.getsockname()[1] for opened in sockets]
-    for opened in sockets:
-        opened.close()
-    return ports
-
-
 def render_template(template: str, fields: dict[str, Any]) -> str:
     """Fills in the placeholders of the settings template."""
 
