Send all records to subscribers from before a complete read

Cause: an instance that reads all records keeps no tombstones of earlier deletions, yet it answered subscribers at an older revision with the changes since then. They kept the deleted records, took their copy to be complete up to the new revision, and ignored the deletion from every other source.

Change: a complete merge sets the revision after which deletions are known; subscribers below it receive all records, and are bound in the same way towards their own subscribers. The log says when that happened.

Policy records are protected already; the instance list of the agents has no revisions, so an entry that an agent brings back ends after 60 s there, which a new test shows.

--- a/src/verbenacross/feed/record_log.py
+++ b/src/verbenacross/feed/record_log.py
@@ -47,6 +47,7 @@
         self.batches: Subject[RecordBatch] = Subject()
         self._records: dict[str, StoredValue] = {}
         self._tombstones: deque[Tombstone] = deque()
+        # All deletions after this revision are known.
         self._compacted_revision = 0
 
     def merge(
@@ -73,6 +74,10 @@
             self._records[record.key] = record
             if record.value is None:
                 self._add_tombstone(record)
+        if is_complete and revision > self.revision:
+            # Records that were written and deleted since the previous revision are not
+            # among these.
+            self._compacted_revision = revision
         self.revision = max(self.revision, revision)
         self.loaded.set()
         self._expire_tombstones()
@@ -88,7 +93,8 @@
         """Returns records changed after a revision, and whether these are all records.
 
         All records are returned for revision 0, and for a revision after which
-        deletions have already expired.
+        deletions may be unknown: they have expired, or preceded the last complete
+        merge.
         """
         if revision == 0 or revision < self._compacted_revision:
             existing = (
--- a/src/verbenacross/feed/subscription.py
+++ b/src/verbenacross/feed/subscription.py
@@ -198,6 +198,11 @@
 
     def _merge_pending(self) -> None:
         for update in self._pending:
+            if update.is_complete:
+                logger.info(
+                    "received all records",
+                    extra={"peer": self.peer, "revision": update.revision},
+                )
             self._log.merge(
                 update.records,
                 update.revision,
--- a/tests/agent/test_directory_sync.py
+++ b/tests/agent/test_directory_sync.py
@@ -77,6 +77,22 @@
     assert not readers.is_listed(0)
 
 
+def test_entry_brought_back_by_an_agent_that_missed_its_removal_ends_after_the_hold():
+    """Guards against an upstream that stays in use after it left.
+
+    The reader started after the removal, so it has no tombstone of the entry.
+    """
+    readers = LaggingReaders(0)
+    late = DirectoryReplica(UpstreamDirectory(), readers.clock)
+    late.record_changes("late", [(LIVE.id, LIVE)])
+    readers.step(OTHER)
+    readers.step(OTHER)
+    readers.replicas[0].merge([late.get(LIVE.id)])
+    for _ in range(int(RECENT_CHANGE_S) + 3):
+        readers.step(OTHER)
+    assert not readers.is_listed(0)
+
+
 class FakeInstanceList:
     def __init__(self, *instances: Instance) -> None:
         self.instances = instances
--- a/tests/feed/test_record_log.py
+++ b/tests/feed/test_record_log.py
@@ -12,13 +12,19 @@
 KEYS = st.sampled_from(["a", "b", "c"])
 
 
+LOGS = st.sampled_from([0, 1])
+
+
 class RecordLogMachine(RuleBasedStateMachine):
-    """A store, a log that reads it incrementally, and a subscriber of that log."""
+    """A store, two logs that read it, and a subscriber of either of them.
+
+    The logs also receive each other's records, and each may start over.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.history: list[StoredValue] = []
-        self.log = RecordLog()
+        self.logs = [RecordLog(), RecordLog()]
         self.subscriber = RecordLog()
         self.emitted: dict[str, int] = {}
         self.subscriber.batches.subscribe(self.check_batch)
@@ -40,42 +46,54 @@
         value = None if deletes and exists else b"v"
         self.history.append(StoredValue(key, value, len(self.history) + 1))
 
-    @rule()
-    def read_all(self):
+    @rule(index=LOGS)
+    def read_all(self, index):
         revision = len(self.history)
         state = self.get_state(revision)
-        self.log.merge(state.values(), revision, "store", is_complete=True)
+        self.logs[index].merge(state.values(), revision, "store", is_complete=True)
 
-    @rule(lag=st.integers(0, 5))
-    def read_all_late(self, lag):
+    @rule(index=LOGS, lag=st.integers(0, 5))
+    def read_all_late(self, index, lag):
         """Delivers an old snapshot after newer changes."""
         revision = max(0, len(self.history) - lag)
         if revision == 0:
             return
         state = self.get_state(revision)
-        self.log.merge(state.values(), revision, "store", is_complete=True)
+        self.logs[index].merge(state.values(), revision, "store", is_complete=True)
+
+    @rule(index=LOGS)
+    def restart(self, index):
+        self.logs[index] = RecordLog()
 
-    @rule()
-    def watch(self):
-        events = self.history[self.log.revision :]
-        if self.log.revision:
+    @rule(index=LOGS)
+    def watch(self, index):
+        log = self.logs[index]
+        events = self.history[log.revision :]
+        if log.revision:
             revision = len(self.history)
-            self.log.merge(events, revision, "store", is_complete=False)
+            log.merge(events, revision, "store", is_complete=False)
 
-    @rule(lag=st.integers(0, 5))
-    def publish(self, lag):
-        if not self.log.revision:
+    @rule(index=LOGS, lag=st.integers(0, 5))
+    def publish(self, index, lag):
+        self.send_records(self.logs[index], self.subscriber, lag)
+
+    @rule(index=LOGS, lag=st.integers(0, 5))
+    def exchange(self, index, lag):
+        self.send_records(self.logs[index], self.logs[1 - index], lag)
+
+    @staticmethod
+    def send_records(source, target, lag):
+        if not source.revision:
             return
-        since = max(0, self.subscriber.revision - lag)
-        records, is_complete = self.log.get_records_since(since)
-        self.subscriber.merge(
-            records, self.log.revision, "peer", is_complete=is_complete
-        )
+        since = max(0, target.revision - lag)
+        records, is_complete = source.get_records_since(since)
+        target.merge(records, source.revision, "peer", is_complete=is_complete)
 
     @invariant()
-    def log_is_the_store_at_its_revision(self):
-        records, _ = self.log.get_records_since(0)
-        assert {r.key: r for r in records} == self.get_state(self.log.revision)
+    def logs_are_the_store_at_their_revisions(self):
+        for log in self.logs:
+            records, _ = log.get_records_since(0)
+            assert {r.key: r for r in records} == self.get_state(log.revision)
 
     @invariant()
     def subscriber_is_the_store_at_its_revision(self):
@@ -88,3 +106,48 @@
 
 RecordLogMachine.TestCase.settings = settings(max_examples=150, deadline=None)
 test_record_log = RecordLogMachine.TestCase
+
+
+def test_source_that_started_later_passes_on_earlier_deletions():
+    """Guards against upstreams that stay in use although they left.
+
+    An instance misses a deletion, then subscribes to one that has started since and
+    has read all records without the deleted one.
+    """
+    subscriber, source = RecordLog(), RecordLog()
+    records = [StoredValue("left", b"v", 1), StoredValue("stays", b"v", 2)]
+    subscriber.merge(records, 2, "store", is_complete=True)
+    # The record "left" was deleted at revision 3.
+    source.merge(
+        [records[1], StoredValue("new", b"v", 4)], 4, "store", is_complete=True
+    )
+
+    changes, is_complete = source.get_records_since(subscriber.revision)
+    subscriber.merge(changes, source.revision, "peer", is_complete=is_complete)
+
+    assert subscriber.get_revision("left") == 0
+    assert subscriber.get_revision("stays") == 2
+    assert subscriber.get_revision("new") == 4
+
+
+def test_deletions_before_a_complete_read_are_passed_on_over_two_instances():
+    """Guards against a deletion that is lost between an instance and its subscriber.
+
+    The source read all records again, so it never learned of a record that was written
+    and deleted in between. An instance that has that record subscribes to one that
+    received only changes from the source.
+    """
+    source, relay, late = RecordLog(), RecordLog(), RecordLog()
+    stays = StoredValue("stays", b"v", 1)
+    for log in (source, relay, late):
+        log.merge([stays], 1, "store", is_complete=True)
+    late.merge([StoredValue("left", b"v", 2)], 2, "store", is_complete=False)
+    # The record "left" was deleted at revision 3, and the store lost its history.
+    source.merge([stays], 3, "store", is_complete=True)
+
+    for sender, receiver in ((source, relay), (relay, late)):
+        records, is_complete = sender.get_records_since(receiver.revision)
+        receiver.merge(records, sender.revision, "peer", is_complete=is_complete)
+
+    assert late.get_revision("left") == 0
+    assert late.get_revision("stays") == 1
