Start the grace period only after an outage of the store

Cause: each time without a fresh source counted as an outage of the store. A source that stood still was enough; the removal that came with the next source 0.9 s later was held back for the grace period, and suspects are used while most upstreams are ejected.

Five new cases in tests/feed/test_synchronizer.py failed before: sources that stand still, and readers that lose the store while it serves the others. Change: the grace period starts after 1.5 s without any fresh source. Entries lapse only in outages of two renewals (3 s) or more, and an instance that lost its sources has another one after about 1.2 s.

--- a/src/verbenacross/feed/synchronizer.py
+++ b/src/verbenacross/feed/synchronizer.py
@@ -39,6 +39,10 @@
 # As DIRECT_READ_DELAY_S, when the whole system starts for the first time. There are no
 # requests yet, and the seeds have read the store by then.
 FIRST_START_READ_DELAY_S = 1.0
+# The store counts as away once no source has been fresh for this time, in seconds.
+# Shorter outages let no entry of an upstream expire, and an instance that only lost its
+# sources has found another one or reads the store itself by then.
+MIN_OUTAGE_S = 1.5
 # A reader whose last subscriber disconnected keeps reading for this time, in seconds: a
 # subscriber whose connection was reset has reconnected by then.
 IDLE_READER_TIMEOUT_S = 1.0
@@ -54,8 +58,8 @@
     these and subscribe to a second one as a standby. While no member is known, the
     seeds are used as sources. ``is_first_start`` means that the whole system starts for
     the first time, so the seeds are about to read the store.
-    ``on_store_recovered`` is called when records become fresh again after a time
-    without any fresh source.
+    ``on_store_recovered`` is called when records become fresh again after an outage of
+    the store.
     """
 
     def __init__(
@@ -154,7 +158,9 @@
 
     def handle_connected(self) -> None:
         """Handles a source that reached the store again, before merging its records."""
-        if not self.is_fresh() and self._log.revision:
+        outage_s = time.monotonic() - self._fresh_at
+        if not self.is_fresh() and self._log.revision and outage_s >= MIN_OUTAGE_S:
+            logger.info("store was away", extra={"away_s": round(outage_s, 3)})
             self._on_store_recovered()
         # Tells subscribers that they need no other source.
         self._publisher.notify_subscribers()
--- a/tests/feed/test_synchronizer.py
+++ b/tests/feed/test_synchronizer.py
@@ -124,8 +124,11 @@
     def __init__(self, log, is_fresh) -> None:
         super().__init__(log, is_fresh)
         self.connections = set()
+        self.is_standing_still = False
 
     async def _handle(self, connection) -> None:
+        if self.is_standing_still:
+            await asyncio.Event().wait()
         self.connections.add(connection)
         await super()._handle(connection)
 
@@ -134,6 +137,11 @@
             connection.transport.abort()
         self.connections.clear()
 
+    def stand_still(self) -> None:
+        """Sends nothing more, on open connections or on new ones."""
+        self.is_standing_still = True
+        self.block_connections()
+
     def block_connections(self) -> None:
         for connection in self.connections:
             # The subscriber receives neither data nor the end of the connection.
@@ -151,6 +159,7 @@
         self.store = StoreConnection(store, member.instance)
         self.reader = StoreReader(self.store, "", self.log)
         self.publisher = ResettablePublisher(self.log, self.reader.is_fresh)
+        self.recoveries = 0
         self.synchronizer = Synchronizer(
             member,
             tuple(seeds),
@@ -158,10 +167,13 @@
             self.publisher,
             self.log,
             self.find_members,
-            lambda: None,
+            self.count_recovery,
             is_first_start=first,
         )
 
+    def count_recovery(self) -> None:
+        self.recoveries += 1
+
     def find_members(self) -> list[Member]:
         records = self.log.get_records_since(0)[0]
         return [
@@ -444,6 +456,55 @@
     blind.store.watch = watch
 
 
+def find_sources(instances: list[Instance], other: Instance) -> list[Instance]:
+    names = [source["peer"] for source in other.synchronizer.describe_sources()]
+    return [instance for instance in instances if instance.member.instance in names]
+
+
+@pytest.mark.parametrize("lost", ["source", "source and standby", "all readers"])
+async def test_sources_that_stand_still_are_no_outage_of_the_store(stack, lost):
+    """Guards against upstreams that left but stay in use for the grace period.
+
+    The store was available all the while, so no entry lapsed for want of a renewal.
+    """
+    fleet = Fleet(stack, 12)
+    readers, others = await fleet.settle()
+    watched = others[0]
+    sources = find_sources(readers, watched)
+    main = next(s for s in sources if s.publisher.receiver_count)
+    standing = {"source": [main], "source and standby": sources}.get(lost, readers)
+
+    for reader in standing:
+        reader.publisher.stand_still()
+    fleet.register(fleet.members[0])
+    async with asyncio.timeout(UPDATE_BOUND_S):
+        while any(other.log.revision < fleet.store.revision for other in others):
+            await asyncio.sleep(0.01)
+
+    assert [other.recoveries for other in others] == [0] * len(others)
+
+
+@pytest.mark.parametrize("cut", ["source", "all readers"])
+async def test_readers_that_lose_the_store_are_no_outage_for_others(stack, cut):
+    """Guards against the grace period on instances whose source alone is cut off."""
+    fleet = Fleet(stack, 12)
+    readers, others = await fleet.settle()
+    main = next(
+        s for s in find_sources(readers, others[0]) if s.publisher.receiver_count
+    )
+
+    rejected = [main] if cut == "source" else readers
+    fleet.store.rejected |= {reader.member.instance for reader in rejected}
+    await asyncio.sleep(0.5)
+    fleet.register(fleet.members[0])
+    await wait_until(
+        lambda: all(other.log.revision == fleet.store.revision for other in others)
+    )
+    await asyncio.sleep(1.5)
+
+    assert [other.recoveries for other in others] == [0] * len(others)
+
+
 async def test_large_record_reaches_subscribers_behind_slow_links(stack, monkeypatch):
     """Guards against subscribers that give up while a large record is on its way.
 
