Detect the end of an outage before records of any peer are merged

What callers would see: after an outage of the store, living upstreams whose entries lapsed are removed until they register again, about 2 s later.

Cause: an update of a peer that is not connected to the store was merged before the grace period had started. After an outage many instances are subscribed to such peers, and these pass records on at once.

Evidence: test_outage_of_the_store_is_detected_by_all failed before; half of the twelve instances of the model merged the first records some 10 ms before the grace period. Change: the subscription reports records of such a peer before it merges them.

--- a/src/verbenacross/feed/subscription.py
+++ b/src/verbenacross/feed/subscription.py
@@ -53,9 +53,10 @@
     With ``is_standby`` the peer sends no records, only its revision, which shows
     whether this instance's source falls behind. The subscription ends when no message
     arrives for some time. ``on_connected`` is called when the peer, unless it is a
-    standby, is connected to the store again. ``has_ended`` is set at the end, and
-    ``is_peer_unavailable`` if the peer should not be tried again at once.
-    ``started_at`` is the monotonic time of this instance's start.
+    standby, is connected to the store again, ``on_records`` before records of a peer
+    are merged that is not. ``has_ended`` is set at the end, and ``is_peer_unavailable``
+    if the peer should not be tried again at once. ``started_at`` is the monotonic time
+    of this instance's start.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         address: str,
         log: RecordLog,
         on_connected: Callable[[], None],
+        on_records: Callable[[], None],
         *,
         is_standby: bool = False,
         started_at: float = -float("inf"),
@@ -77,6 +79,7 @@
         self._own_instance = own_instance
         self._log = log
         self._on_connected = on_connected
+        self._on_records = on_records
         self._started_at = started_at
         # Updates that are not merged yet.
         self._pending: list[Update] = []
@@ -203,6 +206,8 @@
                     "received all records",
                     extra={"peer": self.peer, "revision": update.revision},
                 )
+            if update.records and not update.is_fresh:
+                self._on_records()
             self._log.merge(
                 update.records,
                 update.revision,
--- a/src/verbenacross/feed/synchronizer.py
+++ b/src/verbenacross/feed/synchronizer.py
@@ -58,8 +58,8 @@
     these and subscribe to a second one as a standby. While no member is known, the
     seeds are used as sources. ``is_first_start`` means that the whole system starts for
     the first time, so the seeds are about to read the store.
-    ``on_store_recovered`` is called when records become fresh again after an outage of
-    the store.
+    ``on_store_recovered`` is called before the first records are merged after an outage
+    of the store.
     """
 
     def __init__(
@@ -158,13 +158,24 @@
 
     def handle_connected(self) -> None:
         """Handles a source that reached the store again, before merging its records."""
-        outage_s = time.monotonic() - self._fresh_at
-        if not self.is_fresh() and self._log.revision and outage_s >= MIN_OUTAGE_S:
-            logger.info("store was away", extra={"away_s": round(outage_s, 3)})
-            self._on_store_recovered()
+        self.handle_records()
         # Tells subscribers that they need no other source.
         self._publisher.notify_subscribers()
 
+    def handle_records(self) -> None:
+        """Detects the end of an outage of the store, before merging new records.
+
+        A peer may pass on the first records after an outage before any source of this
+        instance is fresh.
+        """
+        if self.is_fresh() or self._log.revision == 0:
+            return
+        outage_s = time.monotonic() - self._fresh_at
+        if outage_s < MIN_OUTAGE_S:
+            return
+        logger.info("store was away", extra={"away_s": round(outage_s, 3)})
+        self._on_store_recovered()
+
     def _should_read(self, members: list[Member], now: float) -> bool:
         if self._own.instance in {
             reader.instance for reader in select_readers(members)
@@ -284,6 +295,7 @@
             member.address,
             self._log,
             self.handle_connected,
+            self.handle_records,
             is_standby=is_standby,
             started_at=self._started_at,
         )
--- a/tests/feed/test_synchronizer.py
+++ b/tests/feed/test_synchronizer.py
@@ -505,6 +505,34 @@
     assert [other.recoveries for other in others] == [0] * len(others)
 
 
+async def test_outage_of_the_store_is_detected_by_all(stack):
+    """Guards against living upstreams that are removed because their entries lapsed.
+
+    Entries lapse in an outage of two of their heartbeats, 3 s, or longer. Each instance
+    must know of the outage when it merges the first records, also if a peer that is not
+    connected to the store itself passes them on.
+    """
+    fleet = Fleet(stack, 12)
+    readers, others = await fleet.settle()
+    instances = readers + others
+    recoveries = []
+    for instance in instances:
+        instance.log.batches.subscribe(
+            lambda _, instance=instance: recoveries.append(instance.recoveries)
+        )
+
+    fleet.store.rejected |= {member.instance for member in fleet.members}
+    await asyncio.sleep(3.0)
+    fleet.store.rejected.clear()
+    fleet.register(fleet.members[0])
+    await wait_until(
+        lambda: all(i.log.revision == fleet.store.revision for i in instances)
+    )
+
+    assert len(recoveries) >= len(instances)
+    assert all(recoveries)
+
+
 async def test_large_record_reaches_subscribers_behind_slow_links(stack, monkeypatch):
     """Guards against subscribers that give up while a large record is on its way.
 
