Retire deleted records that peers send before an agent's first confirmation

What callers would see: a withdrawn policy in force again after a restart of an agent, until its next complete read of the store.

Cause: a table replaces a deleted record of a peer by its deletion only once it is complete. An agent that starts has read the store, but waits up to 2 s for its peers before it counts as complete; a peer or an entry that missed the deletion brings the record back in that time.

Evidence: test_deleted_record_of_a_peer_does_not_return_while_an_agent_starts failed before. Change: the records that are missing in the store are retired once more right before the table counts as complete; newer ones stay. Result: tests of agent, peers, policy and distribution pass.

--- a/src/verbenacross/agent/reader_role.py
+++ b/src/verbenacross/agent/reader_role.py
@@ -130,6 +130,10 @@
             or has_peer_records
         ):
             revision, self._unconfirmed_revision = self._unconfirmed_revision, None
+            if not self._progress.synchronized:
+                # Until now the table accepted records that peers or entries kept
+                # although they are deleted.
+                self.reader.retire_missing(revision)
             self._progress.advance_to(revision)
 
     def _handle_pause(self, now: Any) -> None:
--- a/src/verbenacross/agent/store_reader.py
+++ b/src/verbenacross/agent/store_reader.py
@@ -71,6 +71,22 @@
                 logger.warning("store read failed: {}", error)
                 await asyncio.sleep(draw_backoff_s(self._failure_count))
 
+    def retire_missing(self, revision: int) -> None:
+        """Retires the records that are missing from the store at a revision.
+
+        A newer record is not retired, since the merge ignores lower revisions. A record
+        with a saved copy was lost by the store rather than deleted. Once the store is
+        known to have lost writes, lost and deleted records cannot be told apart, so
+        that none is retired.
+        """
+        if self._progress.lost_after is not None:
+            return
+        for key, record in list(self._table.latest.items()):
+            if key in self._valid_copies.stored_revisions or not record.body:
+                continue
+            if not self._valid_copies.is_saved(record):
+                self._table.put(PolicyRecord(key, revision, b""))
+
     async def _read_all(self) -> None:
         try:
             async with asyncio.timeout(self._response_timeout_s * READ_TIMEOUT_FACTOR):
@@ -83,7 +99,7 @@
         self._check_keys(snapshot)
         self._valid_copies.stored_revisions.clear()
         self._apply(snapshot)
-        self._apply_deletions(snapshot)
+        self.retire_missing(snapshot.revision)
         await self._finish_read(snapshot)
 
     async def _watch_once(self) -> None:
@@ -116,22 +132,6 @@
             self._valid_copies.record_stored(record)
             self._table.put(record)
 
-    def _apply_deletions(self, snapshot: StoreSnapshot) -> None:
-        """Retires the records that are missing from the store.
-
-        A snapshot older than a record does not retire it, since the merge ignores lower
-        revisions. A record with a saved copy was lost by the store rather than deleted.
-        Once the store is known to have lost writes, lost and deleted records cannot be
-        told apart, so that none is retired.
-        """
-        if self._progress.lost_after is not None:
-            return
-        for key, record in list(self._table.latest.items()):
-            if key in self._valid_copies.stored_revisions or not record.body:
-                continue
-            if not self._valid_copies.is_saved(record):
-                self._table.put(PolicyRecord(key, snapshot.revision, b""))
-
     async def _finish_read(self, snapshot: StoreSnapshot) -> None:
         self._revision = snapshot.revision
         self._on_complete(snapshot.revision)
