Keep the grace period after any outage that the instance itself saw

Change: the grace period also starts if the instance's own last call to the store failed. The loss of a source alone still does not start it.

--- a/src/verbenacross/feed/store_reader.py
+++ b/src/verbenacross/feed/store_reader.py
@@ -48,13 +48,15 @@
     """Reads the store's records into a log and then watches them for changes.
 
     ``on_connected`` is called when the store answers again, before its records are
-    merged, ``on_lost`` when it no longer does.
+    merged, ``on_lost`` when it no longer does. ``is_failing`` is set while the last
+    call failed.
     """
 
     def __init__(self, store: CheckedStore, prefix: str, log: RecordLog) -> None:
         self.call_count = 0
         self.check_count = 0
         self.is_connected = False
+        self.is_failing = False
         self._last_contact_at = -FRESHNESS_TIMEOUT_S
         self._store = store
         self._prefix = prefix
@@ -90,6 +92,7 @@
         finally:
             self._last_contact_at = -FRESHNESS_TIMEOUT_S
             self.is_connected = False
+            self.is_failing = False
 
     async def _catch_up(self) -> None:
         """Merges what changed since the local revision, without waiting for changes."""
@@ -169,6 +172,7 @@
     def _record_contact(self) -> None:
         if not self.is_connected:
             self.on_connected()
+        self.is_failing = False
         self._last_contact_at = time.monotonic()
         if self.is_connected:
             return
@@ -177,6 +181,7 @@
         logger.info("store reached", extra={"away_s": round(outage_s, 3)})
 
     def _record_loss(self, error: StoreError) -> None:
+        self.is_failing = True
         if not self.is_connected:
             return
         self.is_connected = False
--- a/src/verbenacross/feed/synchronizer.py
+++ b/src/verbenacross/feed/synchronizer.py
@@ -39,9 +39,10 @@
 # As DIRECT_READ_DELAY_S, when the whole system starts for the first time. There are no
 # requests yet, and the seeds have read the store by then.
 FIRST_START_READ_DELAY_S = 1.0
-# The store counts as away once no source has been fresh for this time, in seconds.
-# Shorter outages let no entry of an upstream expire, and an instance that only lost its
-# sources has found another one or reads the store itself by then.
+# Unless this instance has failed to reach the store itself, the store counts as away
+# only once no source has been fresh for this time, in seconds. Shorter outages let no
+# entry of an upstream expire, and an instance that only lost its sources has found
+# another one or reads the store itself by then.
 MIN_OUTAGE_S = 1.5
 # A reader whose last subscriber disconnected keeps reading for this time, in seconds: a
 # subscriber whose connection was reset has reconnected by then.
@@ -171,7 +172,7 @@
         if self.is_fresh() or self._log.revision == 0:
             return
         outage_s = time.monotonic() - self._fresh_at
-        if outage_s < MIN_OUTAGE_S:
+        if outage_s < MIN_OUTAGE_S and not self._reader.is_failing:
             return
         logger.info("store was away", extra={"away_s": round(outage_s, 3)})
         self._on_store_recovered()
