Bound the fields of server entries and isolate records that are invalid

What callers would see: requests that wait are answered 500 beside an entry with 10^400 slots; requests are sent to entries whose port or host cannot be used. Agents stopped following the instance list while it held one invalid entry.

Cause: numbers and ports of entries had no bounds, and the division of the slots raised OverflowError in the balancer. The list was validated as a whole. Members' records did not expect deep nesting.

Change: bounds and findings for each field; an error in one record is logged and does not end the source; invalid entries of the list are left out.

--- a/src/verbenacross/documents/address.py
+++ b/src/verbenacross/documents/address.py
@@ -25,6 +25,8 @@
             raise ValueError(f"address {text!r} is not of the form IP:PORT")
         if int(port) > MAX_PORT:
             raise ValueError(f"port {port} is above {MAX_PORT}")
+        if host.startswith("[") != host.endswith("]"):
+            raise ValueError(f"address {text!r} has an unpaired bracket")
         bare = host.removeprefix("[").removesuffix("]")
         ipaddress.ip_address(bare)
         return cls(bare, int(port))
--- a/src/verbenacross/documents/fields.py
+++ b/src/verbenacross/documents/fields.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from .address import Address
@@ -33,7 +34,7 @@
     def get_string(self, name: str, default: str | None = None) -> str:
         """Returns a string that is not empty."""
         value = self._fields.get(name, default)
-        if isinstance(value, str) and value:
+        if isinstance(value, str) and value and is_encodable(value):
             return value
         self.add_finding(name, "must be a text")
         return ""
@@ -54,13 +55,22 @@
         self.add_finding(name, "must be true or false")
         return default
 
-    def get_int(self, name: str, minimum: int, default: int | None = None) -> int:
-        """Returns an integer of at least ``minimum``."""
+    def get_int(
+        self,
+        name: str,
+        minimum: int,
+        default: int | None = None,
+        maximum: int | None = None,
+    ) -> int:
+        """Returns an integer of at least ``minimum`` and at most ``maximum``."""
         value = self._fields.get(name, default)
-        if isinstance(value, int) and value is not True and value >= minimum:
-            return value
-        self.add_finding(name, f"must be a whole number of at least {minimum}")
-        return minimum
+        if not isinstance(value, int) or value is True or value < minimum:
+            self.add_finding(name, f"must be a whole number of at least {minimum}")
+            return minimum
+        if maximum is not None and value > maximum:
+            self.add_finding(name, f"must be a whole number of at most {maximum}")
+            return minimum
+        return value
 
     def get_number(
         self, name: str, minimum: float, default: float | None = None
@@ -68,17 +78,28 @@
         """Returns a number of at least ``minimum``."""
         value = self._fields.get(name, default)
         if isinstance(value, int | float) and value is not True and value >= minimum:
-            return float(value)
-        self.add_finding(name, f"must be a number of at least {minimum}")
+            try:
+                number = float(value)
+            except OverflowError:
+                number = math.inf
+            if number < math.inf:
+                return number
+        self.add_finding(name, f"must be a finite number of at least {minimum}")
         return minimum
 
-    def get_duration(self, name: str, default: str | None = None) -> float:
-        """Returns a duration in seconds."""
+    def get_duration(
+        self, name: str, default: str | None = None, maximum_s: float = math.inf
+    ) -> float:
+        """Returns a duration in seconds, at most ``maximum_s``."""
         try:
-            return parse_duration(self._fields.get(name, default))
+            duration_s = parse_duration(self._fields.get(name, default))
         except ValueError as error:
             self.add_finding(name, str(error))
             return 0.0
+        if duration_s > maximum_s or duration_s == math.inf:
+            self.add_finding(name, f"must be at most {maximum_s:g}s")
+            return 0.0
+        return duration_s
 
     def get_address(self, name: str) -> Address:
         """Returns an IP address with a port."""
@@ -125,3 +146,12 @@
         """Raises ``InvalidDocumentError`` with every finding, if there are any."""
         if self._findings:
             raise InvalidDocumentError(limit_findings(self._findings))
+
+
+def is_encodable(text: str) -> bool:
+    """Returns whether a text has no unpaired surrogates, which JSON can escape."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/src/verbenacross/feed/members.py
+++ b/src/verbenacross/feed/members.py
@@ -6,6 +6,7 @@
 import math
 from typing import NamedTuple
 
+from ..documents.address import Address
 from ..stable_hash import HASH_BYTES, hash_text
 from .exceptions import FeedError
 
@@ -13,6 +14,8 @@
 # All others are known only by number, so the traffic of a start grows with the fleet
 # and not with its square.
 MEMBERS_PER_DOMAIN = 3
+# Larger numbers are mistakes of whoever wrote the record.
+MAX_INSTANCES = 1_000_000
 
 
 class Member(NamedTuple):
@@ -35,7 +38,7 @@
             fields = json.loads(data)
             member = cls(
                 instance,
-                str(fields["address"]),
+                str(Address.from_text(fields["address"])),
                 str(fields["failure_domain"]),
                 float(fields.get("link_mbps", 0.0)),
                 max(0, int(fields.get("instances", 1))),
@@ -44,6 +47,7 @@
             AttributeError,
             KeyError,
             OverflowError,
+            RecursionError,
             TypeError,
             ValueError,
         ) as error:
@@ -52,6 +56,8 @@
             ) from error
         if not math.isfinite(member.link_mbps):
             raise FeedError(f"member {instance!r} has no finite link_mbps")
+        if member.instances > MAX_INSTANCES:
+            raise FeedError(f"member {instance!r} has more than {MAX_INSTANCES}")
         return member
 
     def to_data(self) -> bytes:
--- a/src/verbenacross/infrastructure/http_instance_list.py
+++ b/src/verbenacross/infrastructure/http_instance_list.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import aiohttp
+import logbook
 from pydantic import TypeAdapter, ValidationError
 
 from .exceptions import InstanceListError
@@ -20,7 +21,17 @@
     instances: tuple[Instance, ...]
 
 
+class UncheckedAnswer(NamedTuple):
+    """Body of a response whose entries are not validated yet."""
+
+    instances: tuple[Any, ...]
+
+
 RESPONSE_ADAPTER = TypeAdapter(ListAnswer)
+UNCHECKED_ADAPTER = TypeAdapter(UncheckedAnswer)
+INSTANCE_ADAPTER = TypeAdapter(Instance)
+
+logger = logbook.Logger("verbenacross.infrastructure.instance_list")
 
 
 class HttpInstanceList:
@@ -68,5 +79,17 @@
     def _parse(self, body: bytes) -> tuple[Instance, ...]:
         try:
             return RESPONSE_ADAPTER.validate_json(body).instances
+        except ValidationError:
+            # Some entries may be invalid; the others must still be followed.
+            pass
+        try:
+            entries = UNCHECKED_ADAPTER.validate_json(body).instances
         except ValidationError as error:
             raise InstanceListError(f"GET {self._url}: {error}") from error
+        valid = []
+        for entry in entries:
+            try:
+                valid.append(INSTANCE_ADAPTER.validate_python(entry))
+            except ValidationError as error:
+                logger.warning("invalid listed instance", extra={"reason": str(error)})
+        return tuple(valid)
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -223,9 +223,17 @@
 
     def _apply_batch(self, batch: RecordBatch) -> None:
         for record in batch.records:
-            change = decode_change(record)
-            if change is not None:
-                self.discovery.apply(change, batch.source)
+            try:
+                change = decode_change(record)
+                if change is not None:
+                    self.discovery.apply(change, batch.source)
+            except Exception:
+                # The source must not end, nor the other records be lost, because of a
+                # record that this version does not handle.
+                logger.exception(
+                    "record cannot be applied",
+                    extra={"key": record.key, "revision": record.revision},
+                )
 
     def _apply_limits(self, table: RouteTable) -> None:
         limits = table.limits
--- a/src/verbenacross/platform/server_entries.py
+++ b/src/verbenacross/platform/server_entries.py
@@ -7,6 +7,11 @@
 
 DRAINING = "draining"
 READY = "ready"
+# Larger figures are mistakes of whoever wrote the entry. Sums of them must fit into a
+# floating-point number.
+MAX_SLOTS = 1_000_000
+MAX_COLD_START_S = 86_400.0
+MAX_TIME_MS = 1 << 53
 
 
 def decode_server(identifier: str, data: bytes) -> Upstream:
@@ -18,21 +23,22 @@
     state = status.get_string("state")
     if state not in (READY, DRAINING):
         status.add_finding("state", f"unknown state {state!r}")
-    address = root.get_string("address")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal():
-        root.add_finding("address", f"{address!r} is not HOST:PORT")
+    address = root.get_address("address")
+    if address.port == 0:
+        root.add_finding("address", "must have a port of at least 1")
     upstream = Upstream(
         id=identifier,
         service=information.get_string("service"),
-        address=address,
+        address=str(address),
         failure_domain=information.get_string("zone"),
-        slots=information.get_int("max_concurrency", 1),
+        slots=information.get_int("max_concurrency", 1, maximum=MAX_SLOTS),
         draining=state == DRAINING,
         # Remaining time for which the server is slow after its start.
-        cold_start_s=status.get_duration("warmup_left", default="0ms"),
+        cold_start_s=status.get_duration(
+            "warmup_left", default="0ms", maximum_s=MAX_COLD_START_S
+        ),
         # The server's report counter ``sequence`` restarts when ``born`` changes.
-        started_ms=root.get_int("born", 0, default=0),
+        started_ms=root.get_int("born", 0, default=0, maximum=MAX_TIME_MS),
     )
     document.finish()
     return upstream
--- a/src/verbenacross/platform/store.py
+++ b/src/verbenacross/platform/store.py
@@ -190,7 +190,7 @@
         return status, {}
     try:
         response = json.loads(content)
-    except ValueError as error:
+    except (RecursionError, ValueError) as error:
         raise StoreError(f"{call}: the answer is not JSON") from error
     if not isinstance(response, dict):
         raise StoreError(f"{call}: the answer is not a JSON object")
@@ -220,7 +220,7 @@
         if item.get("deleted"):
             return StoredValue(key, None, revision)
         return StoredValue(key, base64.b64decode(item["value"]), revision)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (AttributeError, KeyError, OverflowError, TypeError, ValueError) as error:
         raise StoreError(f"malformed item in the store's answer: {error!r}") from error
 
 
--- a/tests/feed/test_members.py
+++ b/tests/feed/test_members.py
@@ -89,6 +89,11 @@
         BASE + b'"link_mbps": "fast"}',
         BASE + b'"instances": []}',
         BASE + b'"instances": Infinity}',
+        BASE + b'"instances": 1' + b"0" * 400 + b"}",
+        b"[" * 100_000,
+        BASE + b'"other": ' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+        b'{"address": "10.0.0.1:65536", "failure_domain": "a"}',
+        b'{"address": 80, "failure_domain": "a"}',
     ],
 )
 def test_malformed_record(data):
--- a/tests/infrastructure/test_http_instance_list.py
+++ b/tests/infrastructure/test_http_instance_list.py
@@ -20,3 +20,24 @@
         assert (await instances.read())[0].state == "leaving"
         platform.publish_instances([])
         assert await instances.read() == ()
+
+
+async def test_invalid_entry_does_not_hide_the_others():
+    """Guards against agents that stop following the list because of one entry."""
+    spoilt = [
+        {**LISTED, "id": "port", "address": "127.0.0.1:65536"},
+        {**LISTED, "id": "state", "state": "resting"},
+        {"id": "fields"},
+        "text",
+        None,
+    ]
+    platform = PlatformStandIn()
+    server = TestServer(platform.build_application())
+    async with server, aiohttp.ClientSession() as session:
+        instances = HttpInstanceList(session, str(server.make_url("")))
+        platform.publish_instances([*spoilt, LISTED])
+        first = await instances.read()
+        assert [instance.id for instance in first] == ["x"]
+        assert await instances.read() is first
+        platform.publish_instances([*spoilt, {**LISTED, "state": "leaving"}])
+        assert [instance.state for instance in await instances.read()] == ["leaving"]
