Limit the memory of all responses that are held at once

What callers would see: the process is killed at its memory limit, and the requests of all callers end with it. Reported by operators of similar systems.

Cause: each response is held up to 2 MiB until it is complete; nothing limited how many are held together. One response without end alone was bounded.

Change: the requests of a process hold at most a fifth of its memory limit together; a response that does not fit is streamed.

--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -21,6 +21,7 @@
 from ..platform.records import NODE_PREFIX, WATCHED_PREFIX, decode_change
 from ..platform.store import PlatformStore
 from ..routes.destination_selector import DestinationSelector
+from ..transport.buffer_budget import BufferBudget
 from ..transport.caller_server import CLOSE_TIMEOUT_S, CallerServer
 from ..transport.listening import LISTEN_BACKLOG
 from ..transport.upstream_client import AUTOMATIC_HEADERS, UpstreamClient
@@ -47,9 +48,12 @@
 STORE_TIMEOUT_S = 0.8
 MAX_HEADER_BYTES = 65_536
 PROBE_KEEPALIVE_S = 8.0
-# Limit on requests in flight per megabyte of the memory limit: buffered responses of
-# 100 kB then take up to half of it.
+# Limit on requests in flight per megabyte of the memory limit.
 REQUESTS_PER_MB = 5
+# Share of the memory limit that buffered responses may take. For a moment each takes
+# twice its size, when its parts are joined and when it is written.
+BUFFER_SHARE = 0.2
+BYTES_PER_MB = 1_000_000
 # Longer than any idle timeout, because ``CallerConnections`` closes idle connections
 # instead of the HTTP library.
 LIBRARY_KEEPALIVE_S = 86_400.0
@@ -99,6 +103,9 @@
         )
         prober = UpstreamProber(sessions.probes, self._find_health_path)
         self.balancers = BalancerRegistry(settings, self.discovery, prober)
+        self.buffers = BufferBudget(
+            int(settings.memory_mb * BYTES_PER_MB * BUFFER_SHARE)
+        )
         self.handler = RequestHandler(
             self.discovery,
             self.balancers,
@@ -108,6 +115,7 @@
             self.metrics,
             DestinationSelector(random.Random()),
             settings.memory_mb * REQUESTS_PER_MB,
+            self.buffers,
         )
         self.discovery.table_changes.subscribe(self._apply_limits)
 
@@ -217,6 +225,7 @@
             ("instances", self.balancers.instance_count),
             ("waiting", self.balancers.count_waiting()),
             ("probes", self.balancers.count_probes()),
+            ("buffered_bytes", self.buffers.held_bytes),
         ):
             self.metrics.gauges.set({"name": name}, float(value))
         return self.metrics.registry
--- a/src/verbenacross/node/proxied_request.py
+++ b/src/verbenacross/node/proxied_request.py
@@ -33,6 +33,7 @@
     from ..balancing.tracked_upstream import TrackedUpstream
     from ..balancing.windowed_retry_budget import WindowedRetryBudget
     from ..routes.route import Route
+    from ..transport.buffer_budget import BufferReservation
     from ..transport.request_body import RequestBody
     from ..transport.upstream_client import UpstreamClient
     from .attempt_result import AttemptResult
@@ -63,6 +64,7 @@
         client: UpstreamClient,
         retry_budget: WindowedRetryBudget,
         instance_count: int,
+        held: BufferReservation,
     ) -> None:
         self.may_have_run = False
         self.sends = 0
@@ -76,6 +78,7 @@
         self._client = client
         self._retry_budget = retry_budget
         self._instance_count = instance_count
+        self._held = held
         self._loop = asyncio.get_running_loop()
         self._headers = copy_end_to_end(request.headers)
         self._headers.popall("Expect", None)
@@ -104,7 +107,7 @@
                 retry_after_s = error.retry_after_s
                 break
             attempt = UpstreamAttempt(
-                self._client, self._balancer, tracked, self._context
+                self._client, self._balancer, tracked, self._context, self._held
             )
             result = await self._run_attempt(attempt)
             match result:
--- a/src/verbenacross/node/request_handler.py
+++ b/src/verbenacross/node/request_handler.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from ..routes.route import Route
     from ..routes.route_table import RouteTable
+    from ..transport.buffer_budget import BufferBudget, BufferReservation
     from ..transport.upstream_client import UpstreamClient
     from .balancer_registry import BalancerRegistry
     from .caller_connections import CallerConnections
@@ -62,6 +63,7 @@
         metrics: NodeMetrics,
         destinations: DestinationSelector,
         max_in_flight: int,
+        buffers: BufferBudget,
     ) -> None:
         self._discovery = discovery
         self._balancers = balancers
@@ -71,6 +73,7 @@
         self._metrics = metrics
         self._destinations = destinations
         self._max_in_flight = max_in_flight
+        self._buffers = buffers
         self._loop = asyncio.get_running_loop()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -80,15 +83,16 @@
         self._connections.mark_busy(request)
         self._shutdown.drain.begin_request()
         try:
-            response = await self._respond(request, request_id, arrived)
-            if not response.prepared:
-                await wait_turn(request)
-                if self._shutdown.drain.started and is_last_started(request):
-                    response.force_close()
-                # Sent here, so that the request stays in flight until then.
-                await response.prepare(request)
-                await response.write_eof()
-            return response
+            with self._buffers.open() as held:
+                response = await self._respond(request, request_id, arrived, held)
+                if not response.prepared:
+                    await wait_turn(request)
+                    if self._shutdown.drain.started and is_last_started(request):
+                        response.force_close()
+                    # Sent here, so that the request stays in flight until then.
+                    await response.prepare(request)
+                    await response.write_eof()
+                return response
         except asyncio.CancelledError:
             self._log(request_id, arrived, "caller disconnected", {})
             raise
@@ -100,7 +104,11 @@
             self._connections.mark_idle(request)
 
     async def _respond(
-        self, request: web.BaseRequest, request_id: str, arrived: float
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        arrived: float,
+        held: BufferReservation,
     ) -> web.StreamResponse:
         if self._shutdown.is_refusing():
             return self._refuse_while_stopping(request_id, arrived)
@@ -130,7 +138,7 @@
             # A caller repeats what it sent behind a response that closes the
             # connection.
             await wait_turn(request)
-        return await self._proxy(request, request_id, arrived, table, route)
+        return await self._proxy(request, request_id, arrived, table, route, held)
 
     async def _wait_until_loaded(self, request: web.BaseRequest) -> RouteTable | None:
         """Returns the route table, ``None`` if it is not loaded in time."""
@@ -151,6 +159,7 @@
         arrived: float,
         table: RouteTable,
         route: Route,
+        held: BufferReservation,
     ) -> web.StreamResponse:
         deadline = arrived + route.timeout_s
         remaining_s = read_remaining_time_s(request)
@@ -187,6 +196,7 @@
             self._client,
             self._balancers.record_request(service, arrived),
             self._balancers.instance_count,
+            held,
         )
         response = await proxied.run()
         if body.is_too_large and not response.prepared:
--- a/src/verbenacross/node/upstream_attempt.py
+++ b/src/verbenacross/node/upstream_attempt.py
@@ -41,6 +41,7 @@
     from ..balancing.outcome import Outcome
     from ..balancing.service_balancer import ServiceBalancer
     from ..balancing.tracked_upstream import TrackedUpstream
+    from ..transport.buffer_budget import BufferReservation
     from ..transport.request_body import RequestBody
     from ..transport.upstream_client import UpstreamClient
     from .attempt_result import AttemptResult
@@ -65,6 +66,8 @@
 class UpstreamAttempt:
     """One attempt to send a request to an upstream.
 
+    A response is buffered as far as ``held`` has room, and streamed otherwise.
+
     Releases the upstream to the balancer with the outcome of the attempt. After a
     ``StreamedResponse``, ``end_stream`` does so.
     """
@@ -75,12 +78,14 @@
         balancer: ServiceBalancer,
         tracked: TrackedUpstream,
         context: BalancingContext,
+        held: BufferReservation,
     ) -> None:
         self.tracked = tracked
         self._middleware = SingleAttemptMiddleware()
         self._client = client
         self._balancer = balancer
         self._context = context
+        self._held = held
         self._loop = asyncio.get_running_loop()
         self._started = self._loop.time()
         self._outcome: Outcome = Abandoned()
@@ -209,7 +214,7 @@
             )
         ending = ResponseEnding.from_response(response)
         headers = copy_end_to_end(response.headers)
-        body, is_complete = await read_limited(response, MAX_BUFFERED_BYTES)
+        body, is_complete = await read_limited(response, MAX_BUFFERED_BYTES, self._held)
         if not is_complete:
             return StreamedResponse(response, headers, body, ending)
         ending.check()
--- a/src/verbenacross/transport/response_body.py
+++ b/src/verbenacross/transport/response_body.py
@@ -13,6 +13,8 @@
     import aiohttp
     from aiohttp import web
 
+    from .buffer_budget import BufferReservation
+
 BODILESS_STATUSES = frozenset({204, 304})
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -23,9 +25,14 @@
 
 
 async def read_limited(
-    response: aiohttp.ClientResponse, max_bytes: int
+    response: aiohttp.ClientResponse,
+    max_bytes: int,
+    held: BufferReservation | None = None,
 ) -> tuple[bytes, bool]:
-    """Returns the body and ``True``, or its start and ``False`` if it is larger."""
+    """Returns the body and ``True``, or its start and ``False`` if it is larger.
+
+    A body that ``held`` has no room for counts as larger.
+    """
     if is_bodiless(response):
         return b"", True
     parts: list[bytes] = []
@@ -33,7 +40,7 @@
     async for part in response.content.iter_any():
         parts.append(part)
         size += len(part)
-        if size > max_bytes:
+        if size > max_bytes or (held is not None and not held.reserve(len(part))):
             return b"".join(parts), False
     return b"".join(parts), True
 
--- a/tests/node/test_endless_responses.py
+++ b/tests/node/test_endless_responses.py
@@ -18,6 +18,7 @@
 MAX_OVERTIME_S = 0.5
 # Most that one such response may add to the memory of a node.
 MAX_ADDED_MEMORY_KB = 64 * 1024
+MEMORY_LIMIT_MB = 150
 NEVER_COMPLETE = [part for part in ENDLESS_PARTS if part != "endless-refusal"]
 ABOVE_BUFFER = ["endless-chunks", "endless-unframed", "endless-length"]
 
@@ -73,6 +74,44 @@
     await wait_until(lambda: all(u.running == 0 for u in short_site.upstreams))
 
 
+@pytest.mark.parametrize("part", ABOVE_BUFFER)
+async def test_many_at_once_stay_within_the_memory_limit(empty_site, part):
+    """Guards against a process that runs out of memory, with all its requests.
+
+    Each response alone is small enough to be held until it is complete.
+    """
+    await empty_site.configure(build_rule("/safe/", timeout="1s"))
+    for number in range(10):
+        await empty_site.add_upstream(f"u{number}", default_behaviour=part)
+    sound = build_rule("/sound/", service="service-b")
+    await empty_site.configure(
+        build_rule("/safe/", timeout="1s"),
+        sound,
+        version=2,
+        services=("service-a", "service-b"),
+    )
+    await empty_site.add_upstream("sound", service="service-b")
+    node = await empty_site.add_node(memory_mb=MEMORY_LIMIT_MB)
+    await node.wait_ready()
+    await wait_until(lambda: node.find_lines("upstream discovered", upstream="sound"))
+
+    calls = [
+        asyncio.create_task(call_until_end(node, "/safe/x", request_id=f"r{number}"))
+        for number in range(120)
+    ]
+    statuses = []
+    for number in range(10):
+        status, _, _ = await node.call("/sound/x", request_id=f"sound-{number}")
+        statuses.append(status)
+        await asyncio.sleep(0.05)
+    await asyncio.gather(*calls)
+
+    assert statuses == [200] * 10
+    assert read_peak_memory_kb(node) < MEMORY_LIMIT_MB * 1_000
+    (upstream, *_) = empty_site.upstreams
+    await wait_until(lambda: upstream.running == 0)
+
+
 @pytest.mark.parametrize("part", ABOVE_BUFFER)
 async def test_counts_against_the_upstream(empty_site, part):
     await empty_site.configure(build_rule("/once/", kind="unsafe", timeout="300ms"))
