Send nothing to upstreams that state that they leave or are busy

What callers would see: requests at an upstream that ends while its entry in the store still says ready, and retries that meet an upstream which asked for a pause.

Cause: the headers Server-Leaving and Retry-After of upstreams were not read.

Change: a notice in a response marks this instance's state of the upstream. Marked upstreams get no requests, queued requests, retries or probes, whatever the fallback; callers that cannot be served are refused at once and learn when the first busy upstream returns. The mark ends with the entry or a new start.

--- a/src/verbenacross/balancing/probe_scheduler.py
+++ b/src/verbenacross/balancing/probe_scheduler.py
@@ -197,6 +197,7 @@
         if result is None:
             self.record_unresponsive(tracked)
             return
+        tracked.apply_notice(result.notice, now)
         tracked.probe_backoff_steps = 0
         if tracked.is_unhealthy is result.is_healthy:
             tracked.is_unhealthy = not result.is_healthy
--- a/src/verbenacross/balancing/prober.py
+++ b/src/verbenacross/balancing/prober.py
@@ -4,16 +4,19 @@
 
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
+from .upstream_notice import NO_NOTICE, UpstreamNotice
+
 if TYPE_CHECKING:
     from .load_report import LoadReport
     from .upstream import Upstream
 
 
 class ProbeResult(NamedTuple):
-    """Load and health from the response of an upstream's health path."""
+    """Load, health and notice from the response of an upstream's health path."""
 
     report: LoadReport | None
     is_healthy: bool
+    notice: UpstreamNotice = NO_NOTICE
 
 
 class Prober(Protocol):
--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -36,6 +36,7 @@
     from .outcome import Outcome
     from .prober import Prober
     from .upstream import Upstream
+    from .upstream_notice import UpstreamNotice
 
 # Assumed age of a load report on arrival, in seconds; a round trip takes about 5 ms.
 REPORT_TRANSIT_S = 0.004
@@ -157,6 +158,16 @@
             if other is not tracked
         )
 
+    def apply_notice(self, tracked: TrackedUpstream, notice: UpstreamNotice) -> None:
+        """Applies what an upstream stated about itself in a response to a request."""
+        tracked.apply_notice(notice, self._clock())
+        # Requests that wait for it look for another one, or are refused.
+        self._wake.set()
+
+    def accepts(self, tracked: TrackedUpstream) -> bool:
+        """Returns whether an upstream that ``acquire`` returned may still be used."""
+        return tracked.accepts_requests(self._clock())
+
     def release(
         self, tracked: TrackedUpstream, context: BalancingContext, outcome: Outcome
     ) -> None:
@@ -205,7 +216,12 @@
         self, tracked: TrackedUpstream, report: LoadReport | None, now: float
     ) -> None:
         latest_report = report or tracked.report
-        if latest_report is not None and latest_report.running < latest_report.slots:
+        is_busy = now < tracked.busy_until
+        if (
+            not is_busy
+            and latest_report is not None
+            and latest_report.running < latest_report.slots
+        ):
             # The upstream rejects requests although it reports free slots.
             record_failure(tracked, now)
         if report is not None:
@@ -236,13 +252,26 @@
             self._is_candidate(tracked, context) for tracked in self.upstreams.values()
         ):
             message = f"service {self.service!r} has no available upstream"
-            raise NoUpstreamError(message, self._add_jitter(MIN_RETRY_AFTER_S * 4))
+            raise NoUpstreamError(message, self._estimate_return())
 
-    @staticmethod
-    def _is_candidate(tracked: TrackedUpstream, context: BalancingContext) -> bool:
-        upstream = tracked.upstream
-        is_unavailable = upstream.draining or tracked.is_misdirected
-        return not is_unavailable and upstream.id not in context.excluded
+    def _is_candidate(
+        self, tracked: TrackedUpstream, context: BalancingContext
+    ) -> bool:
+        if tracked.upstream.id in context.excluded:
+            return False
+        return tracked.accepts_requests(self._clock())
+
+    def _estimate_return(self) -> float:
+        """Returns in how many seconds an upstream may be available again."""
+        now = self._clock()
+        busy_s = [
+            tracked.busy_until - now
+            for tracked in self.upstreams.values()
+            if now < tracked.busy_until and tracked.accepts_requests(math.inf)
+        ]
+        if not busy_s:
+            return self._add_jitter(MIN_RETRY_AFTER_S * 4)
+        return min(busy_s) + self._add_jitter(MIN_RETRY_AFTER_S * 4)
 
     def _cancel(self, pending: PendingAssignment) -> None:
         """Removes a request that was cancelled and releases its upstream, if any."""
@@ -347,13 +376,14 @@
     def _get_eligible(self) -> list[TrackedUpstream]:
         """Returns the upstreams that may be assigned.
 
-        Suspect and ejected ones are included if too few others remain.
+        Suspect and ejected ones are included if too few others remain, those that want
+        no requests never.
         """
         now = self._clock()
         accepting = [
             tracked
             for tracked in self.upstreams.values()
-            if not tracked.upstream.draining and not tracked.is_misdirected
+            if tracked.accepts_requests(now)
         ]
         preferred = [
             tracked
--- a/src/verbenacross/balancing/tracked_upstream.py
+++ b/src/verbenacross/balancing/tracked_upstream.py
@@ -6,16 +6,23 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+import logbook
+
 from .load_report import LoadReport
 
 if TYPE_CHECKING:
     import asyncio
 
     from .upstream import Upstream
+    from .upstream_notice import UpstreamNotice
 
 # Every load report includes the attempts that were sent longer ago than this, in
 # seconds.
 MAX_UNREPORTED_AGE_S = 0.25
+# An upstream that was busy counts as slow for this time afterwards, in seconds.
+RETURN_RAMP_S = 1.0
+
+logger = logbook.Logger("verbenacross.balancing")
 
 
 class TrackedUpstream:
@@ -25,12 +32,14 @@
     """
 
     __slots__ = (
+        "busy_until",
         "cold_start_until",
         "consecutive_failures",
         "ejected_until",
         "ejections",
         "failure_rate",
         "in_flight",
+        "is_leaving",
         "is_misdirected",
         "is_suspect",
         "is_unhealthy",
@@ -73,6 +82,10 @@
         # The registration expired while the store was unavailable, so the upstream may
         # return.
         self.is_suspect = False
+        # The upstream states in its responses that it leaves.
+        self.is_leaving = False
+        # Until then the upstream wants no requests from this instance.
+        self.busy_until = -math.inf
 
     def update_upstream(self, upstream: Upstream, now: float) -> None:
         """Updates the description of the upstream, which has not been restarted."""
@@ -82,6 +95,33 @@
         self.cold_start_until = now + upstream.cold_start_s
         self.is_suspect = False
 
+    def apply_notice(self, notice: UpstreamNotice, now: float) -> None:
+        """Applies what the upstream stated about itself in a response.
+
+        A later response cannot shorten the time that an earlier one asked for.
+        """
+        if notice.is_leaving and not self.is_leaving:
+            self.is_leaving = True
+            logger.info("upstream states that it leaves", extra=self._describe())
+        if notice.busy_for_s <= 0:
+            return
+        if now >= self.busy_until:
+            extra = self._describe() | {"for_s": round(notice.busy_for_s, 3)}
+            logger.info("upstream states that it is busy", extra=extra)
+        self.busy_until = max(self.busy_until, now + notice.busy_for_s)
+        # Requests that waited for it must not all be sent at once.
+        self.cold_start_until = max(
+            self.cold_start_until, self.busy_until + RETURN_RAMP_S
+        )
+
+    def accepts_requests(self, now: float) -> bool:
+        """Returns whether the upstream may get a new request or a probe."""
+        is_gone = self.upstream.draining or self.is_leaving or self.is_misdirected
+        return not is_gone and now >= self.busy_until
+
+    def _describe(self) -> dict[str, str]:
+        return {"upstream": self.upstream.id, "service": self.upstream.service}
+
     def record_attempt(self, now: float) -> None:
         """Records an attempt that is sent now."""
         self.in_flight += 1
--- a/src/verbenacross/node/balancer_registry.py
+++ b/src/verbenacross/node/balancer_registry.py
@@ -86,6 +86,23 @@
         """Returns how many probes were sent since the start of the process."""
         return sum(balancer.probes.sent for balancer in self._balancers.values())
 
+    def count_leaving(self) -> int:
+        """Returns how many upstreams state that they leave."""
+        return sum(
+            tracked.is_leaving
+            for balancer in self._balancers.values()
+            for tracked in balancer.upstreams.values()
+        )
+
+    def count_busy(self) -> int:
+        """Returns how many upstreams want no requests for a time."""
+        now = self._loop.time()
+        return sum(
+            now < tracked.busy_until
+            for balancer in self._balancers.values()
+            for tracked in balancer.upstreams.values()
+        )
+
     def describe(self) -> dict[str, Any]:
         """Returns the content of the state dump."""
         return {
@@ -99,6 +116,10 @@
                         "report": tracked.report,
                         "failure_rate": round(tracked.failure_rate, 2),
                         "draining": tracked.upstream.draining,
+                        "leaving": tracked.is_leaving,
+                        "busy_for_s": round(
+                            max(0.0, tracked.busy_until - self._loop.time()), 3
+                        ),
                     }
                     for identifier, tracked in balancer.upstreams.items()
                 },
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -225,6 +225,8 @@
             ("instances", self.balancers.instance_count),
             ("waiting", self.balancers.count_waiting()),
             ("probes", self.balancers.count_probes()),
+            ("upstreams_leaving", self.balancers.count_leaving()),
+            ("upstreams_busy", self.balancers.count_busy()),
             ("buffered_bytes", self.buffers.held_bytes),
         ):
             self.metrics.gauges.set({"name": name}, float(value))
--- a/src/verbenacross/node/proxied_request.py
+++ b/src/verbenacross/node/proxied_request.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from ..balancing.exceptions import BalancingError
+from ..balancing.outcome import Abandoned
 from ..transport.exceptions import UnusableAnswerError
 from ..transport.headers import copy_end_to_end
 from ..transport.request_ahead import wait_turn
@@ -106,6 +107,10 @@
                 self.cause = self.cause or str(error)
                 retry_after_s = error.retry_after_s
                 break
+            if not self._balancer.accepts(tracked):
+                # It stated that it leaves or is busy after it had been chosen.
+                self._balancer.release(tracked, self._context, Abandoned())
+                continue
             attempt = UpstreamAttempt(
                 self._client, self._balancer, tracked, self._context, self._held
             )
--- a/src/verbenacross/node/upstream_attempt.py
+++ b/src/verbenacross/node/upstream_attempt.py
@@ -10,6 +10,7 @@
 from yarl import URL
 
 from ..balancing.outcome import Abandoned, Failed, NotRun, Succeeded, Unreachable
+from ..balancing.upstream_notice import NO_NOTICE
 from ..platform.headers import (
     MISDIRECTED,
     NOT_RUN_STATUSES,
@@ -20,6 +21,7 @@
     is_not_run,
     parse_load_after_response,
     parse_load_header,
+    parse_notice,
 )
 from ..transport.deadline import timeout_at_or_after_pause
 from ..transport.exceptions import UnusableAnswerError
@@ -205,6 +207,7 @@
         self, response: aiohttp.ClientResponse
     ) -> AttemptResult:
         self._validate_headers(response)
+        self._apply_notice(response)
         if is_not_run(response.status, response.headers):
             self._validate_rejection(response)
             return self._process_rejection(response)
@@ -221,6 +224,17 @@
         self._outcome = self._build_outcome(response)
         return BufferedResponse(response.status, response.reason or "", headers, body)
 
+    def _apply_notice(self, response: aiohttp.ClientResponse) -> None:
+        """Applies what the upstream states about itself.
+
+        Without a request id, the response may be that to an earlier request.
+        """
+        if not self._context.request_id:
+            return
+        notice = parse_notice(response.status, response.headers)
+        if notice != NO_NOTICE:
+            self._balancer.apply_notice(self.tracked, notice)
+
     def _build_outcome(self, response: aiohttp.ClientResponse) -> Outcome:
         if response.status >= HTTP_SERVER_ERROR:
             return Failed(f"status {response.status}")
--- a/src/verbenacross/node/upstream_prober.py
+++ b/src/verbenacross/node/upstream_prober.py
@@ -8,7 +8,8 @@
 from yarl import URL
 
 from ..balancing.prober import ProbeResult
-from ..platform.headers import UPSTREAM_ID, parse_load_header
+from ..balancing.upstream_notice import NO_NOTICE
+from ..platform.headers import UPSTREAM_ID, parse_load_header, parse_notice
 from ..transport.response_body import read_limited
 
 if TYPE_CHECKING:
@@ -64,4 +65,7 @@
         if identifier != upstream.id:
             raise LookupError(f"{identifier!r} responds at {upstream.address}")
         report = parse_load_header(response.headers)
-        return ProbeResult(report, response.status == HTTP_OK)
+        notice = NO_NOTICE
+        if UPSTREAM_ID in response.headers:
+            notice = parse_notice(response.status, response.headers)
+        return ProbeResult(report, response.status == HTTP_OK, notice)
--- a/src/verbenacross/platform/headers.py
+++ b/src/verbenacross/platform/headers.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import email.utils
+import time
 from typing import TYPE_CHECKING
 
 from ..balancing.load_report import LoadReport
+from ..balancing.upstream_notice import NO_NOTICE, UpstreamNotice
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from multidict import CIMultiDictProxy
+
 REQUEST_ID = "X-Request-Id"
 # Time in milliseconds that the sender still waits for the response.
 REMAINING_TIME = "X-Deadline-Ms"
@@ -20,8 +25,16 @@
 SIGNATURE = "X-Upstream-Signature"
 LOAD = "X-Server-Load"
 UPSTREAM_ID = "X-Instance-Id"
+# "1" on every response of an upstream that is about to leave.
+LEAVING = "Server-Leaving"
+# On a rejection with 503: the upstream wants no requests for so long.
+RETRY_AFTER = "Retry-After"
 
 MISDIRECTED = 421
+OVERLOADED = 503
+# Longer times are cut to this, in seconds, so that a mistake of an upstream ends.
+MAX_BUSY_S = 600.0
+MAX_NUMBER_CHARACTERS = 32
 # Callers take a response with one of these statuses as a promise that the request did
 # not run and may be sent again.
 NOT_RUN_STATUSES = frozenset({408, MISDIRECTED, 429, 503})
@@ -58,3 +71,36 @@
 def is_not_run(status: int, headers: Mapping[str, str]) -> bool:
     """Returns whether a response states that the upstream did not run the request."""
     return NOT_RUN in headers or status == MISDIRECTED
+
+
+def parse_notice(status: int, headers: CIMultiDictProxy[str]) -> UpstreamNotice:
+    """Parses what an upstream states about itself in a response.
+
+    A misdirected request was answered by another upstream, which says nothing of this
+    one. Malformed values are ignored.
+    """
+    if status == MISDIRECTED:
+        return NO_NOTICE
+    is_leaving = any(value.strip() == "1" for value in headers.getall(LEAVING, ()))
+    if status != OVERLOADED or RETRY_AFTER not in headers:
+        return UpstreamNotice(is_leaving)
+    # The longest of several values keeps to all of them.
+    busy_for_s = max(parse_retry_after(text) for text in headers.getall(RETRY_AFTER))
+    return UpstreamNotice(is_leaving, busy_for_s)
+
+
+def parse_retry_after(text: str) -> float:
+    """Returns a time in seconds from now, 0 if the value is malformed or past.
+
+    The value is a number of seconds, possibly with a fraction, or an HTTP date.
+    """
+    text = text.strip()
+    whole, _, fraction = text.partition(".")
+    if text.isascii() and (whole + fraction).isdecimal():
+        seconds = float(text) if len(text) <= MAX_NUMBER_CHARACTERS else MAX_BUSY_S
+    else:
+        try:
+            seconds = email.utils.parsedate_to_datetime(text).timestamp() - time.time()
+        except (OverflowError, TypeError, ValueError):
+            return 0.0
+    return min(max(seconds, 0.0), MAX_BUSY_S)
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -80,10 +80,17 @@
     is_healthy: bool = True
     # Responses of the health path go on until the caller closes the connection.
     has_endless_health: bool = False
+    # Whether all responses say that the server leaves, but perhaps not those to probes.
+    is_leaving: bool = False
+    says_so_to_probes: bool = True
+    # Value of Retry-After on rejections, none if empty.
+    retry_after: str = ""
     slowness_percent: int = 100
     default_behaviour: Behaviour = "answer"
     behaviours: list[Behaviour] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
+    # Requests that were rejected with "shed".
+    refused: list[Run] = field(default_factory=list)
     probes: int = 0
     connections: int = 0
     running: int = 0
@@ -156,6 +163,7 @@
             status = "200 OK" if self.is_healthy else "503 Service Unavailable"
             extra = (
                 f"X-Instance-Id: {self.id}\r\nX-Server-Load: {self._format_load()}\r\n"
+                f"{self._format_notices() if self.says_so_to_probes else ''}"
             )
             writer.write(
                 f"HTTP/1.1 {status}\r\n{extra}Content-Length: 0\r\n\r\n".encode()
@@ -179,7 +187,8 @@
     ) -> bool:
         request_id = run.headers.get("x-request-id", "")
         if behaviour == "shed":
-            writer.write(build_refusal(request_id))
+            self.refused.append(run)
+            writer.write(build_refusal(request_id, notices=self._format_notices(True)))
             return True
         if behaviour == "shed-twice":
             writer.write(build_refusal(request_id))
@@ -337,11 +346,18 @@
         head = (
             f"HTTP/1.1 {status}\r\nX-Request-Id: {request_id}\r\n"
             f"X-Upstream-Signature: {SIGNATURE}\r\n"
-            f"X-Server-Load: {self._format_load()}\r\n"
+            f"X-Server-Load: {self._format_load()}\r\n{self._format_notices()}"
             f"Content-Length: {len(self.body)}\r\n\r\n"
         )
         return head.encode() + self.body
 
+    def _format_notices(self, is_refused: bool = False) -> str:
+        """Returns the header lines in which the server speaks of itself."""
+        leaving = "Server-Leaving: 1\r\n" if self.is_leaving else ""
+        if not is_refused or not self.retry_after:
+            return leaving
+        return f"{leaving}Retry-After: {self.retry_after}\r\n"
+
     def _format_load(self) -> str:
         return f"{self.running},0,{self.slots},{self.slowness_percent}"
 
@@ -359,12 +375,13 @@
 
 
 def build_refusal(
-    request_id: str | None, status: str = "503 Service Unavailable"
+    request_id: str | None, status: str = "503 Service Unavailable", notices: str = ""
 ) -> bytes:
     """Returns a refusal of a request, without its id if ``request_id`` is ``None``."""
     identity = "" if request_id is None else f"X-Request-Id: {request_id}\r\n"
     return (
-        f"HTTP/1.1 {status}\r\nX-Not-Executed: 1\r\n{identity}Content-Length: 0\r\n\r\n"
+        f"HTTP/1.1 {status}\r\nX-Not-Executed: 1\r\n{identity}{notices}"
+        "Content-Length: 0\r\n\r\n"
     ).encode()
 
 
