Ignore load reports with numbers that cannot be calculated with

What callers would see: requests of a whole service that fail or never end, because one upstream reports a load of several hundred digits.

Cause: the numbers of X-Server-Load had no bound. Those above 4,300 digits raised ValueError, others OverflowError in the estimate, in the tasks that probe and assign.

Change: a report needs slots and numbers of at most 9 digits.

--- a/src/verbenacross/platform/headers.py
+++ b/src/verbenacross/platform/headers.py
@@ -38,6 +38,8 @@
 # Callers take a response with one of these statuses as a promise that the request did
 # not run and may be sent again.
 NOT_RUN_STATUSES = frozenset({408, MISDIRECTED, 429, 503})
+# Longer numbers of a load report are mistakes.
+MAX_LOAD_DIGITS = 9
 # Percentage of the usual duration that stands for no slowdown.
 NOMINAL_SLOWNESS_PERCENT = 100
 
@@ -48,14 +50,21 @@
     if text is None:
         return None
     parts = [part.strip() for part in text.split(",")]
-    if len(parts) < 3 or not all(part.isdecimal() for part in parts[:4]):
+    if len(parts) < 3 or not all(map(is_small_number, parts[:4])):
         return None
     running, waiting, slots, *rest = (int(part) for part in parts[:4])
+    if slots == 0:
+        return None
     # The fourth number is a percentage of the usual duration, not a load.
     slowness = rest[0] / NOMINAL_SLOWNESS_PERCENT if rest and rest[0] > 0 else 1.0
     return LoadReport(running, waiting, slots, slowness)
 
 
+def is_small_number(text: str) -> bool:
+    """Returns whether a text is a whole number that can be calculated with."""
+    return text.isascii() and text.isdecimal() and len(text) <= MAX_LOAD_DIGITS
+
+
 def parse_load_after_response(headers: Mapping[str, str]) -> LoadReport | None:
     """Parses the load report of a response, less the request that it completes.
 
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -86,6 +86,8 @@
     # Value of Retry-After on rejections, none if empty.
     retry_after: str = ""
     slowness_percent: int = 100
+    # Replaces the load report if it is not empty.
+    load: str = ""
     default_behaviour: Behaviour = "answer"
     behaviours: list[Behaviour] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
@@ -359,6 +361,8 @@
         return f"{leaving}Retry-After: {self.retry_after}\r\n"
 
     def _format_load(self) -> str:
+        if self.load:
+            return self.load
         return f"{self.running},0,{self.slots},{self.slowness_percent}"
 
 
--- a/tests/node/test_odd_entries.py
+++ b/tests/node/test_odd_entries.py
@@ -1,4 +1,4 @@
-"""Entries of servers that another writer spoilt."""
+"""Entries of servers that another writer spoilt, and odd load reports."""
 
 from __future__ import annotations
 
@@ -102,3 +102,23 @@
     assert not node.find_lines("upstream discovered", upstream="odd")
     assert (await node.read_state())["is_fresh"]
     assert node._process.returncode is None
+
+
+@pytest.mark.parametrize(
+    "load", ["3,0," + "9" * 400, "3,0," + "9" * 5000, "9" * 400 + ",0,6", "0,0,0"]
+)
+async def test_requests_are_served_beside_an_odd_load_report(empty_site, load):
+    """Guards against a report that makes the requests of other upstreams fail."""
+    rule = build_rule("/safe/") | {"target_latency": "2s"}
+    await empty_site.configure(rule)
+    for name in ("u1", "u2", "u3"):
+        await empty_site.add_upstream(name, service_time_s=SERVICE_TIME_S)
+    empty_site.upstreams[0].load = load
+    node = await empty_site.add_node()
+    await node.wait_ready()
+    await wait_until(lambda: node.find_lines("upstream discovered", upstream="u3"))
+
+    calls = [node.call(request_id=f"r{number}") for number in range(CALLS)]
+    results = await asyncio.gather(*calls)
+
+    assert {status for status, _, _ in results} == {200}
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -31,6 +31,12 @@
         ("3,2", None),
         ("3,x,8", None),
         ("-1,0,8", None),
+        ("3,0,0", None),
+        ("3,0," + "9" * 400, None),
+        ("3,0," + "9" * 5000, None),
+        ("9" * 400 + ",0,8", None),
+        ("3,0,8," + "9" * 400, None),
+        ("3,0,٨", None),
         ("", None),
     ],
 )
