Send trial requests of a kind that is estimated to take too long

Cause: only responses correct the estimated service time. Once it exceeds the time of every request of a kind, all are refused and no response comes.

--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -54,6 +54,9 @@
 # Share of its latency target that another failure domain must save a request to be
 # chosen, because traffic between failure domains is paid for.
 CROSSING_SAVING_SHARE = 0.25
+# A trial request is allowed if the estimated service time is at least this share of the
+# time that a request has in all.
+TRIAL_TIME_SHARE = 0.8
 # Suspect and ejected upstreams are used as well if the others make up less than this
 # share.
 PANIC_THRESHOLD = 0.5
@@ -190,7 +193,7 @@
         match outcome:
             case Succeeded(latency_s, report):
                 slowness = tracked.report.slowness if tracked.report else 1.0
-                self.service_times.add(context.request_kind, latency_s, slowness)
+                self.service_times.add(context.request_kind, latency_s, slowness, now)
                 record_success(tracked, now)
                 if report is not None:
                     tracked.apply_report(report, now - REPORT_TRANSIT_S, now)
@@ -405,6 +408,8 @@
                 continue
             tier = self._select_tier(pending.context, tiers, now)
             tracked = self._select_upstream(pending.context, tier, now)
+            if tracked is None:
+                tracked = self._select_for_trial(pending.context, tier, now)
             if tracked is not None:
                 self._assign_upstream(pending, tracked, now)
             elif not self._refuse_if_too_late(pending, len(remaining), now):
@@ -503,6 +508,48 @@
                 best, best_cost_s = tracked, cost_s
         return best
 
+    def _select_for_trial(
+        self, context: BalancingContext, upstreams: list[TrackedUpstream], now: float
+    ) -> TrackedUpstream | None:
+        """Selects an upstream for a trial request, ``None`` if there is no need for it.
+
+        Its response may show that requests of this kind can be served after all.
+        """
+        service_time_s = self.service_times.get(context.request_kind)
+        total_s = context.deadline - context.arrived_at
+        if service_time_s < TRIAL_TIME_SHARE * total_s:
+            # It is not the estimate alone that keeps the request from being served.
+            return None
+        candidates = []
+        for tracked in upstreams:
+            if tracked.upstream.id in context.excluded or has_trial_in_flight(tracked):
+                continue
+            completion_s, excess = estimate_completion(
+                tracked,
+                service_time_s,
+                self._failure_domain,
+                now,
+                self._health_baseline,
+            )
+            if not excess:
+                candidates.append((completion_s, tracked))
+        if not candidates or not self.service_times.try_start_trial(
+            context.request_kind, now
+        ):
+            return None
+        _, best = min(candidates, key=lambda candidate: candidate[0])
+        logger.info(
+            "trial request",
+            extra={
+                "request_id": context.request_id,
+                "service": self.service,
+                "upstream": best.upstream.id,
+                "service_time_s": round(service_time_s, 3),
+                "left_s": round(context.deadline - now, 3),
+            },
+        )
+        return best
+
     def _assign_upstream(
         self, pending: PendingAssignment, tracked: TrackedUpstream, now: float
     ) -> None:
--- a/tests/balancing/test_choice.py
+++ b/tests/balancing/test_choice.py
@@ -270,7 +270,7 @@
         prober = FakeProber(u1=unhealthy, u2=unhealthy, u3=unhealthy)
         balancer = build_balancer(prober, "u1", "u2", "u3")
         # The usual service time meets the target; three times as long would not.
-        balancer.service_times.add("work", 0.15, 1.0)
+        balancer.service_times.add("work", 0.15, 1.0, now=0.0)
         started = asyncio.get_running_loop().time()
         await balancer.acquire(build_context(target_s=0.3))
         return asyncio.get_running_loop().time() - started
