Read all records when the changes since a watch are too large

Cause: the response to a watch holds every version since its revision. One above 8 MiB counted as an unavailable store and was asked for again, and could only grow, until the store had dropped the history.

Change: such a response is handled like lost history, and all records are read page by page.

--- a/src/verbenacross/infrastructure/exceptions.py
+++ b/src/verbenacross/infrastructure/exceptions.py
@@ -16,8 +16,15 @@
     """
 
 
+class ResponseTooLargeError(StoreUnavailableError):
+    """The store's response is larger than the process reads."""
+
+
 class HistoryLostError(StoreError):
-    """The store no longer holds the changes after the requested revision."""
+    """The changes after the requested revision cannot be read any more.
+
+    The store no longer holds them, or they are too large; all values must be read.
+    """
 
 
 class StoreConflictError(StoreError):
--- a/src/verbenacross/platform/store.py
+++ b/src/verbenacross/platform/store.py
@@ -12,6 +12,7 @@
 from ..infrastructure.exceptions import (
     HistoryLostError,
     LeaseLostError,
+    ResponseTooLargeError,
     StoreConflictError,
     StoreError,
     StoreUnavailableError,
@@ -86,7 +87,15 @@
             "wait_ms": str(wait_ms),
         }
         extra_s = wait_ms / MS_PER_S
-        status, response = await self._call("GET", "kv-watch", params, extra_s=extra_s)
+        try:
+            status, response = await self._call(
+                "GET", "kv-watch", params, extra_s=extra_s
+            )
+        except ResponseTooLargeError as error:
+            # They hold each version of a value; a read returns the latest ones only.
+            raise HistoryLostError(
+                f"changes after revision {revision} are too large"
+            ) from error
         if status == HTTP_GONE:
             raise HistoryLostError(
                 f"changes after revision {revision} are no longer held"
@@ -166,14 +175,20 @@
             async with self._session.request(
                 method, self._url + path, params=params, json=body, timeout=timeout
             ) as response:
-                content, is_complete = await read_limited(response, MAX_RESPONSE_BYTES)
+                length = response.content_length
+                if length is not None and length > MAX_RESPONSE_BYTES:
+                    content, is_complete = b"", False
+                else:
+                    content, is_complete = await read_limited(
+                        response, MAX_RESPONSE_BYTES
+                    )
                 status = response.status
                 if not is_complete:
                     response.close()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise StoreUnavailableError(f"{method} {path}: {error!r}") from error
         if not is_complete:
-            raise StoreUnavailableError(
+            raise ResponseTooLargeError(
                 f"{method} {path}: the answer is longer than {MAX_RESPONSE_BYTES} bytes"
             )
         if status >= HTTP_SERVER_ERROR or status == HTTP_TOO_MANY_REQUESTS:
--- a/tests/node/test_news.py
+++ b/tests/node/test_news.py
@@ -14,6 +14,8 @@
 # Required: within this time after the write, a configuration is in force on every
 # instance, and a draining upstream gets no more requests.
 MAX_PROPAGATION_S = 2.0
+# Makes a configuration nearly as large as the store accepts.
+LARGE_COMMENT_BYTES = 800_000
 
 
 def has_version(nodes, version):
@@ -187,6 +189,27 @@
     assert not node.find_lines("upstream removed", upstream="u1")
 
 
+async def test_large_configurations_in_quick_succession_are_in_force_in_time(site):
+    """Guards against a fleet that acts on an old configuration for long.
+
+    The changes since the last watch are larger than what the node reads at once.
+    """
+    node = site.nodes[0]
+    rule = build_rule("/safe/") | {"comment": "x" * LARGE_COMMENT_BYTES}
+    for version in range(2, 27):
+        await site.configure(rule, version=version)
+        await asyncio.sleep(0.06)
+    changed_at = time.monotonic()
+    await site.configure(rule, build_rule("/added/"), version=27)
+
+    await wait_until(
+        lambda: node.find_lines("configuration in force", version=27),
+        timeout_s=MAX_PROPAGATION_S,
+    )
+    assert time.monotonic() - changed_at < MAX_PROPAGATION_S
+    assert (await node.call("/added/x"))[0] == 200
+
+
 async def test_unreadable_configuration_leaves_the_last_one_in_force(site):
     node = site.nodes[0]
     await site.store.put("op/config", b'{"version": 5, "listeners": [{}]}')
