--- a/src/verbenacross/infrastructure/upstream_signals.py
+++ b/src/verbenacross/infrastructure/upstream_signals.py
@@ -11,6 +11,8 @@
 STATE_HEADER = "Upstream-State"
 EXECUTION_HEADER = "Execution-Status"
 LOAD_FORMAT = "TEXT "
+# Longer numbers are mistakes of the upstream.
+MAX_LOAD_DIGITS = 9
 IN_FLIGHT_METRIC = "named_metrics.in_flight"
 
 AnnouncedState = Literal["live", "draining", "cold"]
@@ -29,7 +31,8 @@
         return None
     for item in text[len(LOAD_FORMAT) :].split(","):
         name, _, value = item.strip().partition("=")
-        if name == IN_FLIGHT_METRIC and value.isascii() and value.isdigit():
+        is_number = value.isascii() and value.isdigit()
+        if name == IN_FLIGHT_METRIC and is_number and len(value) <= MAX_LOAD_DIGITS:
             return LoadReport(int(value))
     return None
 
