Limit what agents read of responses of the platform and to probes

What callers would see: an agent that runs out of memory, and entries whose knowledge of upstreams is out of date until it has started again.

Cause: responses to probes, of the store and of the instance list were read to their end.

Change: 16 KiB of a response to a probe, 64 MiB of the store's, 32 MiB of the instance list's; the connection is closed then.

--- a/src/verbenacross/agent/prober.py
+++ b/src/verbenacross/agent/prober.py
@@ -14,6 +14,7 @@
 from ..exceptions import VerbenacrossError
 from ..infrastructure.probe_responses import parse_health_response, parse_load_response
 from ..infrastructure.upstream_signals import parse_state_header
+from ..transport.response_body import read_limited
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,6 +33,8 @@
 # Probes are spaced wider than the budget requires. Otherwise a probe delayed in transit
 # by up to 250 ms could fall into a second that already contains all its probes.
 INTERVAL_MARGIN_FACTOR = 1.25
+# A longer body is no report; the rest of it is not read.
+MAX_PROBE_BYTES = 16_384
 PROBE_PATHS = ("/health", "/load")
 
 logger = logbook.Logger("verbenacross.agent.prober")
@@ -186,7 +189,9 @@
                 trace_request_ctx=lease_check,
                 allow_redirects=False,
             ) as response:
-                body = await response.read()
+                body, is_complete = await read_limited(response, MAX_PROBE_BYTES)
+                if not is_complete:
+                    response.close()
                 self._process_response(target, path, response, body)
             self._count_result(lease_check, "answered")
         except LeaseExpiredError:
--- a/src/verbenacross/infrastructure/http_instance_list.py
+++ b/src/verbenacross/infrastructure/http_instance_list.py
@@ -8,11 +8,14 @@
 import logbook
 from pydantic import TypeAdapter, ValidationError
 
+from ..transport.response_body import read_limited
 from .exceptions import InstanceListError
 from .instance_list import Instance
 
 HTTP_OK = 200
 HTTP_NOT_MODIFIED = 304
+# 25,000 instances take about 5 MB.
+MAX_LIST_BYTES = 33_554_432
 
 
 class ListAnswer(NamedTuple):
@@ -61,11 +64,17 @@
             async with self._session.get(
                 self._url, timeout=self._timeout, headers=headers
             ) as response:
-                body = await response.read()
+                body, is_complete = await read_limited(response, MAX_LIST_BYTES)
                 status = response.status
+                if not is_complete:
+                    response.close()
                 tag = response.headers.get("ETag")
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise InstanceListError(f"GET {self._url}: {error!r}") from error
+        if not is_complete:
+            raise InstanceListError(
+                f"GET {self._url}: the list is longer than {MAX_LIST_BYTES} bytes"
+            )
         if status == HTTP_NOT_MODIFIED and self._tag is not None:
             return self._instances
         if status != HTTP_OK:
--- a/src/verbenacross/infrastructure/http_key_value_store.py
+++ b/src/verbenacross/infrastructure/http_key_value_store.py
@@ -8,9 +8,11 @@
 
 import aiohttp
 
+from ..transport.response_body import read_limited
 from .exceptions import (
     HistoryLostError,
     LeaseLostError,
+    ResponseTooLargeError,
     StoreConflictError,
     StoreError,
     StoreUnavailableError,
@@ -23,6 +25,8 @@
 HTTP_GONE = 410
 HTTP_SERVER_ERROR = 500
 MS_PER_S = 1_000
+# A read returns all records of a prefix at once.
+MAX_RESPONSE_BYTES = 67_108_864
 
 
 class HttpKeyValueStore:
@@ -120,10 +124,16 @@
             async with self._session.request(
                 method, self._url + path, params=params, json=body, timeout=timeout
             ) as response:
-                content = await response.read()
+                content, is_complete = await read_limited(response, MAX_RESPONSE_BYTES)
                 status = response.status
+                if not is_complete:
+                    response.close()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise StoreUnavailableError(f"{method} {path}: {error!r}") from error
+        if not is_complete:
+            raise ResponseTooLargeError(
+                f"{method} {path}: the answer is longer than {MAX_RESPONSE_BYTES} bytes"
+            )
         if status >= HTTP_SERVER_ERROR:
             raise StoreUnavailableError(f"{method} {path}: status {status}")
         return parse_response(status, content, f"{method} {path}")
--- a/tests/agent/test_prober.py
+++ b/tests/agent/test_prober.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
+import pytest
 from aiohttp import web
 from aioprometheus import Registry
 
@@ -89,6 +90,59 @@
     return max(sum(start <= t < start + 1 for t in times) for start in times)
 
 
+class OddUpstream(FakeUpstream):
+    """Its responses to probes are odd, or go on until the caller closes them."""
+
+    def __init__(self, body: bytes, is_endless: bool = False) -> None:
+        super().__init__()
+        self.body = body
+        self.is_endless = is_endless
+        self.most_sent = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.probe_times.append(time.monotonic())
+        response = web.StreamResponse()
+        await response.prepare(request)
+        sent = 0
+        try:
+            while self.is_endless or not sent:
+                await response.write(self.body)
+                sent += len(self.body)
+                self.most_sent = max(self.most_sent, sent)
+        finally:
+            self.most_sent = max(self.most_sent, sent)
+        await response.write_eof()
+        return response
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[" * 10_000,
+        b'{"in_flight": 1' + b"0" * 400 + b"}",
+        b'{"in_flight": 1' + b"0" * 5_000 + b"}",
+        b"\xff",
+    ],
+)
+async def test_odd_responses_to_probes_do_not_end_the_prober(body):
+    """Guards against an agent that ends because of one upstream."""
+    upstream = OddUpstream(body)
+    async with run_prober(FakeOwnership(), upstream):
+        await asyncio.sleep(2.0)
+        count = len(upstream.probe_times)
+        await asyncio.sleep(0.5)
+        assert len(upstream.probe_times) > count > 0
+
+
+async def test_responses_to_probes_without_end_are_not_read_on():
+    """Guards against an agent that keeps all bytes and runs out of memory."""
+    upstream = OddUpstream(b"x" * 65_536, is_endless=True)
+    async with run_prober(FakeOwnership(), upstream):
+        await asyncio.sleep(2.5)
+    # What the sockets hold, as nobody reads it.
+    assert 0 < upstream.most_sent < 32_000_000
+
+
 async def test_probes_use_the_budget_but_no_more_and_are_observed():
     """The probe rate must use the budget and never exceed it within any second.
 
