--- a/src/verbenacross/documents/fields.py
+++ b/src/verbenacross/documents/fields.py
@@ -96,10 +96,11 @@
         except ValueError as error:
             self.add_finding(name, str(error))
             return 0.0
-        if duration_s > maximum_s or duration_s == math.inf:
-            self.add_finding(name, f"must be at most {maximum_s:g}s")
-            return 0.0
-        return duration_s
+        if duration_s <= maximum_s and duration_s < math.inf:
+            return duration_s
+        limit = f"at most {maximum_s:g}s" if maximum_s < math.inf else "finite"
+        self.add_finding(name, f"must be {limit}")
+        return 0.0
 
     def get_address(self, name: str) -> Address:
         """Returns an IP address with a port."""
