--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -26,6 +26,7 @@
     select_subset,
 )
 from .tracked_upstream import TrackedUpstream
+from .trial_request import find_fastest, log_trial, needs_trial
 from .wait_estimator import WaitEstimator
 
 if TYPE_CHECKING:
@@ -54,9 +55,6 @@
 # Share of its latency target that another failure domain must save a request to be
 # chosen, because traffic between failure domains is paid for.
 CROSSING_SAVING_SHARE = 0.25
-# A trial request is allowed if the estimated service time is at least this share of the
-# time that a request has in all.
-TRIAL_TIME_SHARE = 0.8
 # Suspect and ejected upstreams are used as well if the others make up less than this
 # share.
 PANIC_THRESHOLD = 0.5
@@ -511,44 +509,23 @@
     def _select_for_trial(
         self, context: BalancingContext, upstreams: list[TrackedUpstream], now: float
     ) -> TrackedUpstream | None:
-        """Selects an upstream for a trial request, ``None`` if there is no need for it.
-
-        Its response may show that requests of this kind can be served after all.
-        """
-        service_time_s = self.service_times.get(context.request_kind)
-        total_s = context.deadline - context.arrived_at
-        if service_time_s < TRIAL_TIME_SHARE * total_s:
-            # It is not the estimate alone that keeps the request from being served.
+        """Selects an upstream for a trial request, ``None`` if there is no need."""
+        if not needs_trial(context, self.service_times):
             return None
-        candidates = []
-        for tracked in upstreams:
-            if tracked.upstream.id in context.excluded or has_trial_in_flight(tracked):
-                continue
-            completion_s, excess = estimate_completion(
-                tracked,
-                service_time_s,
-                self._failure_domain,
-                now,
-                self._health_baseline,
-            )
-            if not excess:
-                candidates.append((completion_s, tracked))
-        if not candidates or not self.service_times.try_start_trial(
+        tracked = find_fastest(
+            context,
+            upstreams,
+            self.service_times.get(context.request_kind),
+            self._failure_domain,
+            self._health_baseline,
+            now,
+        )
+        if tracked is None or not self.service_times.try_start_trial(
             context.request_kind, now
         ):
             return None
-        _, best = min(candidates, key=lambda candidate: candidate[0])
-        logger.info(
-            "trial request",
-            extra={
-                "request_id": context.request_id,
-                "service": self.service,
-                "upstream": best.upstream.id,
-                "service_time_s": round(service_time_s, 3),
-                "left_s": round(context.deadline - now, 3),
-            },
-        )
-        return best
+        log_trial(context, tracked, self.service_times, now)
+        return tracked
 
     def _assign_upstream(
         self, pending: PendingAssignment, tracked: TrackedUpstream, now: float
