Limit the buffers of streamed responses and of callers that stop reading

Cause: only the bodies that are held were bounded. Each streamed response also took up to 512 KiB + 256 KiB in the HTTP client's read buffer, as much again in the part being sent, and the caller's connection keeps a copy of what it has not sent, of the held start of up to 2 MiB as well. A caller that stops reading kept that for as long as it liked, and a stream that ended because of a slow caller counted as a failure of its upstream.

Change: connections read 32 KiB at once and pause at 64 KiB; held bodies are sent in parts; streamed responses have a bounded number of slots, those beyond wait unread until their deadline; a caller that takes nothing for 10 s is reset; a slow caller is no failure of the upstream.

--- a/src/verbenacross/node/attempt_result.py
+++ b/src/verbenacross/node/attempt_result.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections import deque
+
     import aiohttp
     from multidict import CIMultiDict
 
@@ -26,13 +28,14 @@
 class StreamedResponse:
     """A response whose body is too large to buffer.
 
-    ``body_start`` is what was read of the body; the rest is still to be read from
-    ``response``. ``ending`` checks the body once it has been read.
+    ``body_start`` holds the parts of the body that were read, and sending removes them;
+    the rest is still to be read from ``response``. ``ending`` checks the body once it
+    has been read.
     """
 
     response: aiohttp.ClientResponse
     headers: CIMultiDict[str]
-    body_start: bytes
+    body_start: deque[bytes]
     ending: ResponseEnding
 
 
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -50,8 +50,8 @@
 PROBE_KEEPALIVE_S = 8.0
 # Limit on requests in flight per megabyte of the memory limit.
 REQUESTS_PER_MB = 5
-# Share of the memory limit that buffered responses may take. For a moment each takes
-# twice its size, when its parts are joined and when it is written.
+# Share of the memory limit that the bodies of responses may take that are held until
+# they are complete; the buffers of streamed responses may take as much again.
 BUFFER_SHARE = 0.2
 BYTES_PER_MB = 1_000_000
 # Longer than any idle timeout, because ``CallerConnections`` closes idle connections
@@ -228,6 +228,7 @@
             ("upstreams_leaving", self.balancers.count_leaving()),
             ("upstreams_busy", self.balancers.count_busy()),
             ("buffered_bytes", self.buffers.held_bytes),
+            ("streamed_responses", self.buffers.stream_count),
         ):
             self.metrics.gauges.set({"name": name}, float(value))
         return self.metrics.registry
--- a/src/verbenacross/node/proxied_request.py
+++ b/src/verbenacross/node/proxied_request.py
@@ -7,15 +7,21 @@
 
 import aiohttp
 import logbook
-from aiohttp import web
+from aiohttp import hdrs, web
 
 from ..balancing.exceptions import BalancingError
 from ..balancing.outcome import Abandoned
-from ..transport.exceptions import UnusableAnswerError
+from ..transport.exceptions import (
+    SlowCallerError,
+    StreamLimitError,
+    UnusableAnswerError,
+)
 from ..transport.headers import copy_end_to_end
 from ..transport.request_ahead import wait_turn
 from ..transport.response_body import (
+    PIECE_BYTES,
     is_closing,
+    iterate_pieces,
     reset_caller_connection,
     stream_body_until,
 )
@@ -220,11 +226,15 @@
         return self._has_spent_retry
 
     def _build_response(self, response: BufferedResponse) -> web.Response:
+        body, headers = response.body, response.headers
+        is_large = len(body) > PIECE_BYTES
+        if is_large:
+            headers[hdrs.CONTENT_LENGTH] = str(len(body))
         return web.Response(
             status=response.status,
             reason=response.reason,
-            headers=response.headers,
-            body=response.body,
+            headers=headers,
+            body=iterate_pieces(body) if is_large else body,
         )
 
     def _build_failure_response(
@@ -249,25 +259,20 @@
 
         Raises ``ConnectionAbortedError`` in that case.
         """
-        response = web.StreamResponse(
-            status=result.response.status,
-            reason=result.response.reason,
-            headers=result.headers,
-        )
         failure: str | None = None
         try:
             await wait_turn(self._request)
-            await response.prepare(self._request)
-            await response.write(result.body_start)
-            await stream_body_until(
-                result.response,
-                response,
-                self._context.deadline,
-                extension_s=self._context.deadline - self._context.arrived_at,
-                received_bytes=len(result.body_start),
-            )
-            result.ending.check()
-            await response.write_eof()
+            async with self._held.budget.open_stream(
+                result.response, self._context.deadline
+            ):
+                return await self._send_stream(result)
+        except StreamLimitError as error:
+            self.cause = str(error)
+            return self._build_failure_response(None, timed_out=True)
+        except SlowCallerError as error:
+            self.cause = str(error)
+            reset_caller_connection(self._request)
+            raise ConnectionAbortedError(self.cause) from error
         except (aiohttp.ClientError, UnusableAnswerError, OSError) as error:
             if not is_closing(self._request):
                 failure = f"the response was truncated: {error!r}"
@@ -276,6 +281,23 @@
             raise ConnectionAbortedError(self.cause) from error
         finally:
             attempt.end_stream(result, failure)
+
+    async def _send_stream(self, result: StreamedResponse) -> web.StreamResponse:
+        response = web.StreamResponse(
+            status=result.response.status,
+            reason=result.response.reason,
+            headers=result.headers,
+        )
+        await response.prepare(self._request)
+        await stream_body_until(
+            result.response,
+            response,
+            self._context.deadline,
+            extension_s=self._context.deadline - self._context.arrived_at,
+            body_start=result.body_start,
+        )
+        result.ending.check()
+        await response.write_eof()
         return response
 
 
--- a/src/verbenacross/node/upstream_attempt.py
+++ b/src/verbenacross/node/upstream_attempt.py
@@ -26,7 +26,7 @@
 from ..transport.deadline import timeout_at_or_after_pause
 from ..transport.exceptions import UnusableAnswerError
 from ..transport.headers import copy_end_to_end
-from ..transport.response_body import read_limited
+from ..transport.response_body import read_parts
 from ..transport.response_ending import ResponseEnding
 from ..transport.single_attempt_middleware import SingleAttemptMiddleware
 from .attempt_result import (
@@ -217,12 +217,14 @@
             )
         ending = ResponseEnding.from_response(response)
         headers = copy_end_to_end(response.headers)
-        body, is_complete = await read_limited(response, MAX_BUFFERED_BYTES, self._held)
+        parts, is_complete = await read_parts(response, MAX_BUFFERED_BYTES, self._held)
         if not is_complete:
-            return StreamedResponse(response, headers, body, ending)
+            return StreamedResponse(response, headers, parts, ending)
         ending.check()
         self._outcome = self._build_outcome(response)
-        return BufferedResponse(response.status, response.reason or "", headers, body)
+        return BufferedResponse(
+            response.status, response.reason or "", headers, b"".join(parts)
+        )
 
     def _apply_notice(self, response: aiohttp.ClientResponse) -> None:
         """Applies what the upstream states about itself.
--- a/src/verbenacross/transport/attempt_request.py
+++ b/src/verbenacross/transport/attempt_request.py
@@ -7,6 +7,8 @@
 
 import aiohttp
 
+from .read_size import limit_read_size
+
 if TYPE_CHECKING:
     import asyncio
 
@@ -41,3 +43,5 @@
             USED_PROTOCOLS.add(protocol)
         self.may_have_sent = True
         return await super().send(conn)
+        if conn.transport is not None:
+            limit_read_size(conn.transport)
--- a/src/verbenacross/transport/caller_protocol.py
+++ b/src/verbenacross/transport/caller_protocol.py
@@ -16,12 +16,14 @@
 from aiohttp.web_protocol import _ErrInfo
 
 from ..refusals import Execution, ProblemDetails
+from .read_size import limit_read_size
 from .request_ahead import (
     TURN_KEY,
     RequestAhead,
     keeps_connection_usable,
     retrieve_exception,
 )
+from .response_body import reset_connection
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterator
@@ -30,6 +32,9 @@
     from aiohttp.web import BaseRequest
 
 HTTP_SERVER_ERROR = 500
+# A connection on which more than 64 KiB wait to be sent is reset if its caller does not
+# take most of them within this time, in seconds.
+STALL_TIMEOUT_S = 10.0
 # Requests of one connection that are handled before earlier ones are answered.
 MAX_REQUESTS_AHEAD = 8
 
@@ -53,7 +58,8 @@
     infinity while a request is handled. ``head_since`` is the time since which the
     head of the next request is incomplete, or infinity. While ``accepts_ahead`` returns
     true, requests that were sent ahead are handled in parallel; they are answered in
-    order. ``get_max_head_bytes`` returns the limit on the size of a head.
+    order. ``get_max_head_bytes`` returns the limit on the size of a head. The
+    connection is reset if its caller takes none of a response for ``STALL_TIMEOUT_S``.
     """
 
     __slots__ = (
@@ -62,6 +68,7 @@
         "_in_flight",
         "_is_head_rejected",
         "_last_payload",
+        "_stall_timer",
         "accepts_ahead",
         "get_max_head_bytes",
         "head_since",
@@ -80,14 +87,43 @@
         self._last_payload: Any = EMPTY_PAYLOAD
         self._in_flight = 0
         self._ahead: deque[RequestAhead] = deque()
+        self._stall_timer: asyncio.TimerHandle | None = None
+        limit_read_size(transport)
         super().connection_made(transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancels all requests of the connection."""
+        self._cancel_stall_timer()
         super().connection_lost(exc)
         while self._ahead:
             self._ahead.popleft().cancel()
 
+    def pause_writing(self) -> None:
+        """Limits the time that the caller may take none of what is to be sent."""
+        super().pause_writing()
+        self._stall_timer = self._loop.call_later(STALL_TIMEOUT_S, self._reset_stalled)
+
+    def resume_writing(self) -> None:
+        """Goes on sending after the caller has taken what was to be sent."""
+        self._cancel_stall_timer()
+        super().resume_writing()
+
+    def _cancel_stall_timer(self) -> None:
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
+
+    def _reset_stalled(self) -> None:
+        self._stall_timer = None
+        if self.transport is None:
+            return
+        unsent_bytes = self.transport.get_write_buffer_size()
+        logger.warning(
+            "caller takes no more of a response",
+            extra={"unsent_bytes": unsent_bytes, "for_s": STALL_TIMEOUT_S},
+        )
+        reset_connection(self.transport)
+
     def data_received(self, data: bytes) -> None:
         """Parses requests and starts those sent ahead."""
         if self._is_head_rejected:
--- a/src/verbenacross/transport/caller_server.py
+++ b/src/verbenacross/transport/caller_server.py
@@ -16,6 +16,8 @@
 # Time for handlers to end when a server closes, in seconds. aiohttp treats 0 as no
 # limit.
 CLOSE_TIMEOUT_S = 0.05
+# Reading from a caller pauses while twice this is unread.
+READ_BUFFER_BYTES = 32_768
 # Time for a caller to end the body of a request that has been answered, in seconds.
 BODY_END_TIMEOUT_S = 1.0
 
@@ -35,7 +37,11 @@
         accepts_ahead: Callable[[], bool] = lambda: False,
         **options: Any,
     ) -> None:
-        options = {"lingering_time": BODY_END_TIMEOUT_S} | options
+        defaults = {
+            "lingering_time": BODY_END_TIMEOUT_S,
+            "read_bufsize": READ_BUFFER_BYTES,
+        }
+        options = defaults | options
         super().__init__(handler, handler_cancellation=True, **options)
         self.max_head_bytes = math.inf
         self._accepts_ahead = accepts_ahead
--- a/src/verbenacross/transport/exceptions.py
+++ b/src/verbenacross/transport/exceptions.py
@@ -19,6 +19,14 @@
     """An upstream's response must not reach the caller; its connection is closed."""
 
 
+class StreamLimitError(TransportError):
+    """Too many responses were streamed until the deadline of a request."""
+
+
+class SlowCallerError(TransportError):
+    """The caller did not take a streamed response in time."""
+
+
 class CallerBodyError(TransportError):
     """The caller's request body is malformed or ended early."""
 
--- a/src/verbenacross/transport/response_body.py
+++ b/src/verbenacross/transport/response_body.py
@@ -5,11 +5,16 @@
 import asyncio
 import socket
 import struct
+from collections import deque
 from typing import TYPE_CHECKING
 
 from aiohttp import hdrs
 
+from .exceptions import SlowCallerError
+
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     import aiohttp
     from aiohttp import web
 
@@ -17,6 +22,9 @@
 
 BODILESS_STATUSES = frozenset({204, 304})
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# A connection copies what its caller does not take at once, so large bodies are sent in
+# pieces of this size.
+PIECE_BYTES = 65_536
 
 
 def is_bodiless(response: aiohttp.ClientResponse) -> bool:
@@ -33,16 +41,36 @@
 
     A body that ``held`` has no room for counts as larger.
     """
+    parts, is_complete = await read_parts(response, max_bytes, held)
+    return b"".join(parts), is_complete
+
+
+async def read_parts(
+    response: aiohttp.ClientResponse,
+    max_bytes: int,
+    held: BufferReservation | None = None,
+) -> tuple[deque[bytes], bool]:
+    """As ``read_limited``, but returns the parts of the body as they arrived."""
+    parts: deque[bytes] = deque()
     if is_bodiless(response):
-        return b"", True
-    parts: list[bytes] = []
+        return parts, True
     size = 0
     async for part in response.content.iter_any():
         parts.append(part)
         size += len(part)
         if size > max_bytes or (held is not None and not held.reserve(len(part))):
-            return b"".join(parts), False
-    return b"".join(parts), True
+            return parts, False
+    return parts, True
+
+
+async def iterate_pieces(body: bytes) -> AsyncIterator[memoryview]:
+    """Yields a body in pieces, each after the caller has taken most of the one before.
+
+    The HTTP server waits for that between the pieces of an iterable.
+    """
+    view = memoryview(body)
+    for start in range(0, len(body), PIECE_BYTES):
+        yield view[start : start + PIECE_BYTES]
 
 
 async def stream_body(
@@ -61,29 +89,42 @@
     deadline: float,
     *,
     extension_s: float,
-    received_bytes: int,
+    body_start: deque[bytes],
 ) -> None:
     """Streams a body to the caller as it arrives, until a deadline.
 
-    The end of the response is not written.
+    ``body_start`` holds the parts that were read already; they are sent first and
+    removed. The end of the response is not written.
 
     A body of which half of the declared length has arrived by then gets ``extension_s``
     more, since the rest takes no longer at the same rate. A body without a declared
-    length may never end. ``received_bytes`` is the size of the part that was sent
-    already. Raises ``TimeoutError``.
+    length may never end. Raises ``TimeoutError``, or ``SlowCallerError`` if the time
+    ended while the caller had yet to take what had arrived.
     """
     length = upstream_response.content_length
+    received_bytes = sum(map(len, body_start))
+    is_writing = True
     try:
         async with asyncio.timeout_at(deadline) as timeout:
+            if length is not None and 2 * received_bytes >= length:
+                timeout.reschedule(deadline + extension_s)
+            while body_start:
+                await response.write(body_start.popleft())
+            is_writing = False
             async for chunk in upstream_response.content.iter_any():
                 received_bytes += len(chunk)
                 if length is not None and 2 * received_bytes >= length:
                     timeout.reschedule(deadline + extension_s)
+                is_writing = True
                 await response.write(chunk)
+                is_writing = False
     except TimeoutError as error:
-        raise TimeoutError(
-            f"{received_bytes} of {length or 'unknown'} bytes had arrived in time"
-        ) from error
+        progress = f"{received_bytes} of {length or 'unknown'} bytes had arrived"
+        if is_writing:
+            raise SlowCallerError(
+                f"the caller did not take the response in time; {progress}"
+            ) from error
+        raise TimeoutError(f"{progress} in time") from error
 
 
 def is_closing(request: web.BaseRequest) -> bool:
@@ -97,9 +138,12 @@
     An HTTP/1.0 caller takes an orderly close as the end of the body, so the connection
     is reset.
     """
-    transport = request.transport
-    if transport is None:
-        return
+    if request.transport is not None:
+        reset_connection(request.transport)
+
+
+def reset_connection(transport: asyncio.Transport) -> None:
+    """Resets a connection; what was written and not sent yet is discarded."""
     sock = transport.get_extra_info("socket")
     if sock is not None:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/src/verbenacross/transport/upstream_client.py
+++ b/src/verbenacross/transport/upstream_client.py
@@ -19,6 +19,8 @@
 
 MS_PER_S = 1_000
 KEEPALIVE_S = 15.0
+# Reading from a connection pauses while twice this is unread.
+READ_BUFFER_BYTES = 32_768
 AUTOMATIC_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
@@ -57,6 +59,7 @@
                     skip_auto_headers=AUTOMATIC_HEADERS,
                     max_field_size=max_header_bytes,
                     max_line_size=max_header_bytes,
+                    read_bufsize=READ_BUFFER_BYTES,
                 )
             )
             for connector in connectors
--- a/tests/node/test_endless_responses.py
+++ b/tests/node/test_endless_responses.py
@@ -74,15 +74,19 @@
     await wait_until(lambda: all(u.running == 0 for u in short_site.upstreams))
 
 
+@pytest.mark.parametrize("count", [120, 500])
 @pytest.mark.parametrize("part", ABOVE_BUFFER)
-async def test_many_at_once_stay_within_the_memory_limit(empty_site, part):
+async def test_many_at_once_stay_within_the_memory_limit(empty_site, part, count):
     """Guards against a process that runs out of memory, with all its requests.
 
-    Each response alone is small enough to be held until it is complete.
+    Each response alone is small enough to be held until it is complete. Most of 500 are
+    neither held nor streamed at once.
     """
     await empty_site.configure(build_rule("/safe/", timeout="1s"))
     for number in range(10):
-        await empty_site.add_upstream(f"u{number}", default_behaviour=part)
+        await empty_site.add_upstream(
+            f"u{number}", slots=count // 10, default_behaviour=part
+        )
     sound = build_rule("/sound/", service="service-b")
     await empty_site.configure(
         build_rule("/safe/", timeout="1s"),
@@ -97,7 +101,7 @@
 
     calls = [
         asyncio.create_task(call_until_end(node, "/safe/x", request_id=f"r{number}"))
-        for number in range(120)
+        for number in range(count)
     ]
     statuses = []
     for number in range(10):
