Pass on request targets exactly as received

Callers saw /p? reach the upstream as /p, /p#f run as /p, http://host?x=1 get 404, and OPTIONS * or CONNECT host:port run as /.

Cause: yarl drops an empty query and a fragment, and the target of an absolute URL was split at its first slash only.

Change: one RequestTarget for node and entry (which re-encoded absolute targets by request.path_qs); what yarl does not keep is sent as it was received; a fragment or a target without a path gets 400.

The entry was not run with these targets.

--- a/src/verbenacross/entry/exchange.py
+++ b/src/verbenacross/entry/exchange.py
@@ -25,6 +25,7 @@
     copy_end_to_end,
 )
 from ..transport.request_body import RequestBody
+from ..transport.request_target import RequestTarget
 from ..transport.response_body import is_bodiless, reset_caller_connection, stream_body
 from ..transport.single_attempt_middleware import SingleAttemptMiddleware
 from .upstream_response import (
@@ -259,7 +260,8 @@
         )
         return await self._client.send(
             self._request.method,
-            URL(upstream.base_url + get_target(self._request), encoded=True),
+            upstream.base_url,
+            RequestTarget.from_request(self._request).path_and_query,
             headers,
             self._body.build_payload(),
             middleware,
@@ -436,9 +438,3 @@
 def is_disconnected(request: web.BaseRequest) -> bool:
     """Returns whether the caller's connection is closed."""
     return request.transport is None or request.transport.is_closing()
-
-
-def get_target(request: web.BaseRequest) -> str:
-    """Returns the path and query of a request as received."""
-    raw = request.raw_path
-    return raw if raw.startswith("/") else request.path_qs
--- a/src/verbenacross/entry/request_reader.py
+++ b/src/verbenacross/entry/request_reader.py
@@ -11,12 +11,14 @@
 from ..policy.policy import RequestClass
 from ..refusals import build_not_run_error
 from ..routing import RequestContext
+from ..transport.exceptions import RequestTargetError
 from ..transport.headers import (
     ATTEMPT_HEADER,
     REQUEST_ID_HEADER,
     TIMEOUT_HEADER,
     VERSION_HEADER,
 )
+from ..transport.request_target import RequestTarget
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -141,9 +143,12 @@
         raise build_not_run_error(
             417, "unknown-expectation", "Expect must be 100-continue"
         )
-    target = request.raw_path
-    if "#" in target or not (target.startswith("/") or "://" in target):
-        raise build_not_run_error(400, "bad-target", "The request target is not a path")
+    try:
+        RequestTarget.from_request(request)
+    except RequestTargetError as error:
+        raise build_not_run_error(
+            400, "bad-target", "The request target is not a path"
+        ) from error
     if not "".join(headers.values()).isascii():
         for value in headers.values():
             validate_encoding(value)
--- a/src/verbenacross/node/proxied_request.py
+++ b/src/verbenacross/node/proxied_request.py
@@ -64,6 +64,7 @@
     def __init__(
         self,
         request: web.BaseRequest,
+        target: str,
         route: Route,
         context: BalancingContext,
         body: RequestBody,
@@ -78,6 +79,7 @@
         self.upstream = ""
         self.cause = ""
         self._request = request
+        self._target = target
         self._route = route
         self._context = context
         self._body = body
@@ -161,7 +163,7 @@
         may_have_run_before, self.may_have_run = self.may_have_run, True
         result = await attempt.run(
             self._request.method,
-            get_target(self._request),
+            self._target,
             self._headers,
             self._body,
             new_connection=self._needs_new_connection or self.sends > 0,
@@ -299,13 +301,3 @@
         result.ending.check()
         await response.write_eof()
         return response
-
-
-def get_target(request: web.BaseRequest) -> str:
-    """Returns the path and query of a request as received, without an authority."""
-    raw = request.raw_path
-    if raw.startswith("/"):
-        return raw
-    _, _, rest = raw.partition("://")
-    _, slash, path = rest.partition("/")
-    return slash + path or "/"
--- a/src/verbenacross/node/request_handler.py
+++ b/src/verbenacross/node/request_handler.py
@@ -12,11 +12,12 @@
 from ..platform.headers import REMAINING_TIME, REQUEST_ID
 from ..routes.destination_selector import DestinationSelector
 from ..transport.caller_protocol import CallerProtocol
-from ..transport.exceptions import CallerBodyError
+from ..transport.exceptions import CallerBodyError, RequestTargetError
 from ..transport.request_ahead import wait_turn
 from ..transport.request_body import RequestBody
+from ..transport.request_target import RequestTarget
 from .problem_response import build_problem_response
-from .proxied_request import ProxiedRequest, get_target
+from .proxied_request import ProxiedRequest
 
 if TYPE_CHECKING:
     from ..routes.route import Route
@@ -130,15 +131,20 @@
         length = request.content_length
         if length is not None and length > table.limits.max_body_bytes:
             return self._refuse(413, "body-too-large", request_id, arrived)
-        path = get_target(request).partition("?")[0]
-        route = table.find(read_host(request), path)
+        try:
+            target = RequestTarget.from_request(request)
+        except RequestTargetError:
+            return self._refuse(400, "malformed-target", request_id, arrived)
+        route = table.find(read_host(request, target), target.path)
         if route is None:
             return self._refuse(404, "unknown-route", request_id, arrived)
         if not route.idempotent:
             # A caller repeats what it sent behind a response that closes the
             # connection.
             await wait_turn(request)
-        return await self._proxy(request, request_id, arrived, table, route, held)
+        return await self._proxy(
+            request, target.path_and_query, request_id, arrived, table, route, held
+        )
 
     async def _wait_until_loaded(self, request: web.BaseRequest) -> RouteTable | None:
         """Returns the route table, ``None`` if it is not loaded in time."""
@@ -155,6 +161,7 @@
     async def _proxy(
         self,
         request: web.BaseRequest,
+        target: str,
         request_id: str,
         arrived: float,
         table: RouteTable,
@@ -189,6 +196,7 @@
         )
         proxied = ProxiedRequest(
             request,
+            target,
             route,
             context,
             body,
@@ -257,15 +265,12 @@
     return not isinstance(protocol, CallerProtocol) or not protocol.has_requests_ahead()
 
 
-def read_host(request: web.BaseRequest) -> str:
+def read_host(request: web.BaseRequest, target: RequestTarget) -> str:
     """Returns the host of a request without its port.
 
     An absolute request target takes precedence over the ``Host`` header.
     """
-    host = request.headers.get("Host", "")
-    raw = request.raw_path
-    if not raw.startswith("/") and "://" in raw:
-        host = raw.partition("://")[2].partition("/")[0]
+    host = target.authority or request.headers.get("Host", "")
     name, separator, port = host.rpartition(":")
     return name if separator and port.isdecimal() else host
 
--- a/src/verbenacross/node/upstream_attempt.py
+++ b/src/verbenacross/node/upstream_attempt.py
@@ -7,7 +7,6 @@
 
 import aiohttp
 from aiohttp import hdrs
-from yarl import URL
 
 from ..balancing.outcome import Abandoned, Failed, NotRun, Succeeded, Unreachable
 from ..balancing.upstream_notice import NO_NOTICE
@@ -162,7 +161,8 @@
         headers[TARGET_UPSTREAM] = upstream.id
         return await self._client.send(
             method,
-            URL(f"http://{upstream.address}{target}", encoded=True),
+            f"http://{upstream.address}",
+            target,
             headers,
             body,
             self._middleware,
--- a/src/verbenacross/transport/attempt_request.py
+++ b/src/verbenacross/transport/attempt_request.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import weakref
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import aiohttp
 
@@ -19,16 +19,24 @@
 USED_PROTOCOLS: weakref.WeakSet[asyncio.BaseProtocol] = weakref.WeakSet()
 
 
+class ExactTarget(NamedTuple):
+    """Stands for a URL whose target ``yarl`` does not keep, while it is sent."""
+
+    raw_path_qs: str
+
+
 class AttemptRequest(aiohttp.ClientRequest):
     """HTTP client request that records whether any byte may have been sent.
 
     ``connection_reused`` tells whether its connection carried an earlier request.
-    ``used_protocol`` is the protocol of its connection.
+    ``used_protocol`` is the protocol of its connection. ``target``, if set, is sent in
+    place of that of the URL.
     """
 
     may_have_sent = False
     connection_reused = False
     used_protocol: ResponseHandler | None = None
+    target: str | None = None
 
     async def send(self, conn: Connection) -> aiohttp.ClientResponse:
         """Sends the request on an open connection."""
@@ -41,7 +49,14 @@
             self.connection_reused = True
         elif protocol is not None:
             USED_PROTOCOLS.add(protocol)
-        self.may_have_sent = True
-        return await super().send(conn)
         if conn.transport is not None:
             limit_read_size(conn.transport)
+        self.may_have_sent = True
+        if self.target is None or self.url.raw_path_qs == self.target:
+            return await super().send(conn)
+        url = self.url
+        self.url = ExactTarget(self.target)  # type: ignore[assignment]
+        try:
+            return await super().send(conn)
+        finally:
+            self.url = url
--- a/src/verbenacross/transport/exceptions.py
+++ b/src/verbenacross/transport/exceptions.py
@@ -27,6 +27,10 @@
     """The caller did not take a streamed response in time."""
 
 
+class RequestTargetError(TransportError):
+    """The target of a caller's request cannot be passed on."""
+
+
 class CallerBodyError(TransportError):
     """The caller's request body is malformed or ended early."""
 
--- a/src/verbenacross/transport/single_attempt_middleware.py
+++ b/src/verbenacross/transport/single_attempt_middleware.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from .attempt_request import AttemptRequest
 from .exceptions import ConnectionBrokenError
 
 if TYPE_CHECKING:
@@ -18,12 +19,14 @@
     aiohttp retries a request by itself when its connection breaks, if its method is
     idempotent in HTTP. It does not do so for errors of another type. Afterwards,
     ``may_have_sent`` tells whether a byte of the request may have been sent.
+    ``target``, if set, is sent in place of that of the URL.
     """
 
-    __slots__ = ("_request",)
+    __slots__ = ("_request", "target")
 
     def __init__(self) -> None:
         self._request: aiohttp.ClientRequest | None = None
+        self.target: str | None = None
 
     async def __call__(
         self, request: aiohttp.ClientRequest, handler: ClientHandlerType
@@ -33,6 +36,8 @@
         Errors and timeouts in connecting are raised unchanged.
         """
         self._request = request
+        if isinstance(request, AttemptRequest):
+            request.target = self.target
         try:
             return await handler(request)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
--- a/src/verbenacross/transport/upstream_client.py
+++ b/src/verbenacross/transport/upstream_client.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
+from yarl import URL
 
 from .attempt_request import AttemptRequest
 
@@ -13,7 +14,6 @@
     from contextlib import AsyncExitStack
 
     from multidict import CIMultiDict
-    from yarl import URL
 
     from .single_attempt_middleware import SingleAttemptMiddleware
 
@@ -69,7 +69,8 @@
     async def send(
         self,
         method: str,
-        url: URL,
+        origin: str,
+        target: str,
         headers: CIMultiDict[str],
         body: Any,
         middleware: SingleAttemptMiddleware,
@@ -79,8 +80,10 @@
     ) -> aiohttp.ClientResponse:
         """Sends a request and returns the response, whose body is still to be read.
 
-        Raises ``aiohttp.ClientError``.
+        ``target`` is sent as it is. Raises ``aiohttp.ClientError``.
         """
+        url = URL(origin + target, encoded=True)
+        middleware.target = target
         unpooled = new_connection or self._is_reuse_disabled(url)
         session = self._unpooled if unpooled else self._pooled
         return await session.request(
