Try upstreams again in whose name another one responded

Callers lost an upstream for the rest of the process' life after a single response with a wrong id, or a single 421 of a faulty server; if all upstreams of a service sent one, its requests got 503 for good.

Cause: is_misdirected was a flag that only a new address or a new start of the upstream cleared.

Change: a pause of 5 s, doubled each time up to 60 s, after which a probe or one request tells. It is logged with for_s and shown in the state dump.

Measured: tests/balancing/test_return.py plays ten troubles on virtual time, alone on all upstreams and in random overlapping series, and then asks that all requests are served and all upstreams are used. Before: wrong-id and the random series failed (misdirects, which needs the new method, with an AttributeError), the other eight passed. After: 11 passed.

--- a/src/verbenacross/balancing/probe_scheduler.py
+++ b/src/verbenacross/balancing/probe_scheduler.py
@@ -187,9 +187,7 @@
         try:
             result = await self._prober.probe(tracked.upstream)
         except LookupError as error:
-            tracked.is_misdirected = True
-            extra = {"upstream": tracked.upstream.id, "reason": str(error)}
-            logger.info("upstream replaced at its address", extra=extra)
+            tracked.record_misdirection(str(error), self._clock())
             return
         finally:
             tracked.probe = None
@@ -197,6 +195,7 @@
         if result is None:
             self.record_unresponsive(tracked)
             return
+        tracked.record_own_response()
         tracked.apply_notice(result.notice, now)
         tracked.probe_backoff_steps = 0
         if tracked.is_unhealthy is result.is_healthy:
--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -193,6 +193,8 @@
                 slowness = tracked.report.slowness if tracked.report else 1.0
                 self.service_times.add(context.request_kind, latency_s, slowness, now)
                 record_success(tracked, now)
+                if now >= tracked.misdirected_until:
+                    tracked.record_own_response()
                 if report is not None:
                     tracked.apply_report(report, now - REPORT_TRANSIT_S, now)
             case NotRun(report):
--- a/src/verbenacross/balancing/tracked_upstream.py
+++ b/src/verbenacross/balancing/tracked_upstream.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import logbook
 
@@ -21,6 +21,10 @@
 MAX_UNREPORTED_AGE_S = 0.25
 # An upstream that was busy counts as slow for this time afterwards, in seconds.
 RETURN_RAMP_S = 1.0
+# Pause after another upstream responded at the address, doubled each time up to the
+# maximum, in seconds. The entry of an upstream that is gone expires within the first.
+BASE_MISDIRECTION_PAUSE_S = 5.0
+MAX_MISDIRECTION_PAUSE_S = 60.0
 
 logger = logbook.Logger("verbenacross.balancing")
 
@@ -40,10 +44,11 @@
         "failure_rate",
         "in_flight",
         "is_leaving",
-        "is_misdirected",
         "is_suspect",
         "is_unhealthy",
         "last_success",
+        "misdirected_until",
+        "misdirections",
         "probe",
         "probe_backoff_steps",
         "probe_backoff_until",
@@ -77,8 +82,11 @@
         self.last_success = -math.inf
         # The health path reports the upstream as unhealthy, which may be wrong.
         self.is_unhealthy = False
-        # Another upstream responds at this address.
-        self.is_misdirected = False
+        # Consecutive responses of another upstream at this address, and the time until
+        # which the address is not used because of them. A faulty upstream may answer
+        # once in the name of another, so the address is tried again.
+        self.misdirections = 0
+        self.misdirected_until = -math.inf
         # The registration expired while the store was unavailable, so the upstream may
         # return.
         self.is_suspect = False
@@ -90,7 +98,7 @@
     def update_upstream(self, upstream: Upstream, now: float) -> None:
         """Updates the description of the upstream, which has not been restarted."""
         if upstream.address != self.upstream.address:
-            self.is_misdirected = False
+            self.record_own_response()
         self.upstream = upstream
         self.cold_start_until = now + upstream.cold_start_s
         self.is_suspect = False
@@ -114,12 +122,28 @@
             self.cold_start_until, self.busy_until + RETURN_RAMP_S
         )
 
+    def record_misdirection(self, reason: str, now: float) -> None:
+        """Records that another upstream responded at the address."""
+        pause_s = min(
+            MAX_MISDIRECTION_PAUSE_S,
+            BASE_MISDIRECTION_PAUSE_S * 2.0**self.misdirections,
+        )
+        self.misdirections += 1
+        self.misdirected_until = now + pause_s
+        extra = self._describe() | {"reason": reason, "for_s": pause_s}
+        logger.info("upstream replaced at its address", extra=extra)
+
+    def record_own_response(self) -> None:
+        """Records that the upstream itself responded at the address."""
+        self.misdirections = 0
+        self.misdirected_until = -math.inf
+
     def accepts_requests(self, now: float) -> bool:
         """Returns whether the upstream may get a new request or a probe."""
-        is_gone = self.upstream.draining or self.is_leaving or self.is_misdirected
-        return not is_gone and now >= self.busy_until
+        is_paused = now < self.busy_until or now < self.misdirected_until
+        return not (self.upstream.draining or self.is_leaving or is_paused)
 
-    def _describe(self) -> dict[str, str]:
+    def _describe(self) -> dict[str, Any]:
         return {"upstream": self.upstream.id, "service": self.upstream.service}
 
     def record_attempt(self, now: float) -> None:
--- a/src/verbenacross/node/balancer_registry.py
+++ b/src/verbenacross/node/balancer_registry.py
@@ -120,6 +120,9 @@
                         "busy_for_s": round(
                             max(0.0, tracked.busy_until - self._loop.time()), 3
                         ),
+                        "misdirected_for_s": round(
+                            max(0.0, tracked.misdirected_until - self._loop.time()), 3
+                        ),
                     }
                     for identifier, tracked in balancer.upstreams.items()
                 },
--- a/src/verbenacross/node/upstream_attempt.py
+++ b/src/verbenacross/node/upstream_attempt.py
@@ -245,7 +245,7 @@
 
     def _process_rejection(self, response: aiohttp.ClientResponse) -> Rejected:
         if response.status == MISDIRECTED:
-            self.tracked.is_misdirected = True
+            self.tracked.record_misdirection(f"status {MISDIRECTED}", self._loop.time())
         self._outcome = NotRun(parse_load_header(response.headers))
         # A faulty upstream may send the rejection once more. If the caller repeats the
         # request with the same id, nothing would tell the copy from its response.
