Keep what upstreams state about themselves while their entries are away

A leaving upstream got requests again if its entry lapsed and was written again, as a server does that cannot reach the store for some seconds.

Cause: the marks were dropped with the entry.

Change: up to 1,000 removed upstreams that had stated something are kept by service, until they return or start anew.

Measured: test_notice_outlasts_an_entry_that_returns and the state machine failed before. The state machine used to expect that marks end with the entry; it now expects that they last until the upstream starts anew, which is checked at the same places.

--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -58,6 +58,8 @@
 # Suspect and ejected upstreams are used as well if the others make up less than this
 # share.
 PANIC_THRESHOLD = 0.5
+# Removed upstreams whose notices are kept, as their entries may return.
+MAX_REMOVED_UPSTREAMS = 1_000
 # Bounds of the retry-after time for refused callers, in seconds.
 MAX_RETRY_AFTER_S = 1.0
 MIN_RETRY_AFTER_S = 0.05
@@ -93,6 +95,7 @@
         self.service = service
         self._instance = instance
         self.upstreams: dict[str, TrackedUpstream] = {}
+        self._removed: dict[str, TrackedUpstream] = {}
         self.service_times = ServiceTimeEstimator()
         self.probes = ProbeScheduler(prober, failure_domain, generator, clock)
         self.refused = 0
@@ -114,19 +117,27 @@
     def set_upstream(self, upstream: Upstream) -> None:
         """Adds an upstream or updates its description.
 
-        State that was recorded before a restart of the upstream is discarded.
+        State that was recorded before a restart of the upstream is discarded. What an
+        upstream stated about itself holds also if its entry was removed meanwhile.
         """
         now = self._clock()
-        tracked = self.upstreams.get(upstream.id)
+        removed = self._removed.pop(upstream.id, None)
+        tracked = self.upstreams.get(upstream.id, removed)
         if tracked is None or tracked.upstream.started_ms != upstream.started_ms:
             rank = compute_rank(self._instance, upstream.id)
             self.upstreams[upstream.id] = TrackedUpstream(upstream, now, rank)
         else:
             tracked.update_upstream(upstream, now)
+            self.upstreams[upstream.id] = tracked
 
     def remove_upstream(self, identifier: str) -> None:
         """Removes an upstream."""
-        self.upstreams.pop(identifier, None)
+        tracked = self.upstreams.pop(identifier, None)
+        if tracked is None or not tracked.has_notice(self._clock()):
+            return
+        self._removed[identifier] = tracked
+        if len(self._removed) > MAX_REMOVED_UPSTREAMS:
+            del self._removed[next(iter(self._removed))]
 
     def set_probe_rate(self, per_upstream: float, instances: int) -> None:
         """Sets the probes per second to each upstream from all instances."""
--- a/src/verbenacross/balancing/tracked_upstream.py
+++ b/src/verbenacross/balancing/tracked_upstream.py
@@ -138,6 +138,10 @@
         self.misdirections = 0
         self.misdirected_until = -math.inf
 
+    def has_notice(self, now: float) -> bool:
+        """Returns whether the upstream stated that it wants no requests now."""
+        return self.is_leaving or now < self.busy_until
+
     def accepts_requests(self, now: float) -> bool:
         """Returns whether the upstream may get a new request or a probe."""
         is_paused = now < self.busy_until or now < self.misdirected_until
--- a/tests/balancing/test_notices.py
+++ b/tests/balancing/test_notices.py
@@ -16,7 +16,10 @@
 from verbenacross.balancing.load_report import LoadReport
 from verbenacross.balancing.outcome import NotRun
 from verbenacross.balancing.prober import ProbeResult
-from verbenacross.balancing.service_balancer import ServiceBalancer
+from verbenacross.balancing.service_balancer import (
+    MAX_REMOVED_UPSTREAMS,
+    ServiceBalancer,
+)
 from verbenacross.balancing.upstream_notice import UpstreamNotice
 
 from .builders import build_upstream
@@ -141,6 +144,39 @@
     assert run(scenario) == {"u2"}
 
 
+@pytest.mark.parametrize("notice", [LEAVING, build_busy(5.0)])
+def test_notice_outlasts_an_entry_that_returns(notice):
+    """Guards against requests to a leaving upstream whose entry lapsed for a while.
+
+    A server that cannot reach the store for some seconds writes its entry again.
+    """
+
+    async def scenario():
+        balancer = build_balancer(FakeProber(), "u1")
+        balancer.apply_notice(balancer.upstreams["u1"], notice)
+        balancer.remove_upstream("u1")
+        balancer.set_upstream(build_upstream("u1"))
+        with pytest.raises(NoUpstreamError):
+            await balancer.acquire(build_context())
+        # A new start of the upstream is free of it.
+        balancer.set_upstream(build_upstream("u1", started_ms=1))
+        return (await balancer.acquire(build_context())).upstream.id
+
+    assert run(scenario) == "u1"
+
+
+def test_notices_of_removed_upstreams_are_limited():
+    async def scenario():
+        balancer = build_balancer(FakeProber())
+        for number in range(MAX_REMOVED_UPSTREAMS + 10):
+            balancer.set_upstream(build_upstream(f"u{number}"))
+            balancer.apply_notice(balancer.upstreams[f"u{number}"], LEAVING)
+            balancer.remove_upstream(f"u{number}")
+        return len(balancer._removed)
+
+    assert run(scenario) == MAX_REMOVED_UPSTREAMS
+
+
 NAMES = st.sampled_from(["u1", "u2", "u3"])
 
 
@@ -153,25 +189,27 @@
         self.balancer = ServiceBalancer(
             "service-a", "node-1", "a", FakeProber(), random.Random(1), self.clock
         )
-        # Start of each listed upstream, whether it leaves, and until when it is busy.
+        # Start of each upstream, whether it leaves, and until when it is busy.
         self.model: dict[str, tuple[int, bool, float]] = {}
+        self.listed: set[str] = set()
 
     @rule(name=NAMES, born=st.integers(1, 3), port=st.integers(1, 2))
     def list_entry(self, name, born, port):
         address = f"10.0.0.1:{port}"
         upstream = build_upstream(name, started_ms=born, address=address)
         self.balancer.set_upstream(upstream)
+        self.listed.add(name)
         if name not in self.model or self.model[name][0] != born:
             self.model[name] = (born, False, 0.0)
 
     @rule(name=NAMES)
     def remove_entry(self, name):
         self.balancer.remove_upstream(name)
-        self.model.pop(name, None)
+        self.listed.discard(name)
 
     @rule(name=NAMES, leaves=st.booleans(), seconds=st.floats(0, 5))
     def state(self, name, leaves, seconds):
-        if name not in self.model:
+        if name not in self.listed:
             return
         notice = UpstreamNotice(leaves, seconds)
         self.balancer.apply_notice(self.balancer.upstreams[name], notice)
@@ -185,7 +223,7 @@
 
     @rule(name=NAMES)
     def eject(self, name):
-        if name in self.model:
+        if name in self.listed:
             self.balancer.upstreams[name].ejected_until = self.clock.now + 2.0
 
     @invariant()
@@ -193,7 +231,7 @@
         willing = {
             name
             for name, (_, is_leaving, busy_until) in self.model.items()
-            if not is_leaving and self.clock.now >= busy_until
+            if name in self.listed and not is_leaving and self.clock.now >= busy_until
         }
         eligible = {t.upstream.id for t in self.balancer._get_eligible()}
         assert eligible <= willing
