--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -32,6 +32,7 @@
     ended_at: float
     status: int | None
     signature: str | None
+    is_leaving: bool
     body: bytes
     error: str
 
@@ -80,7 +81,7 @@
         }
         method = "POST" if path.startswith("/once/") else "GET"
         sent_at = time.monotonic()
-        status, signature, body, error = None, None, b"", ""
+        status, signature, is_leaving, body, error = None, None, False, b"", ""
         try:
             async with (
                 asyncio.timeout(DEADLINE_S + TIMEOUT_MARGIN_S),
@@ -94,6 +95,7 @@
                 body = await response.read()
                 status = response.status
                 signature = response.headers.get("X-Upstream-Signature")
+                is_leaving = response.headers.get("Server-Leaving") == "1"
         except (aiohttp.ClientError, TimeoutError, OSError) as exception:
             error = repr(exception)
         self.calls.append(
@@ -105,6 +107,7 @@
                 time.monotonic(),
                 status,
                 signature,
+                is_leaving,
                 body,
                 error,
             )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -173,9 +173,12 @@
 
     async def _disturb_upstream_link(self) -> None:
         upstream = self._generator.choice(self._fleet.upstreams)
+        windows = self._fleet.upstream_faults[upstream.id]
+        window = windows.open(time.monotonic())
         await self._disturb_link(
             self._fleet.upstream_proxies[upstream.id], f"to {upstream.id}"
         )
+        windows.close(window)
 
     async def _disturb_caller_link(self) -> None:
         name = self._generator.choice([*self._fleet.caller_proxies])
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -25,9 +25,14 @@
     def __init__(self, identifier: str) -> None:
         super().__init__(identifier, service_time_s=SERVICE_TIME_S)
         self.arrivals: list[tuple[float, str]] = []
+        # Time, request and length of each rejection that stated a valid time.
+        self.pauses: list[tuple[float, str, float]] = []
 
     async def _respond(self, behaviour, run, reader, writer):
-        self.arrivals.append((time.monotonic(), run.headers.get("x-request-id", "")))
+        now, request_id = time.monotonic(), run.headers.get("x-request-id", "")
+        self.arrivals.append((now, request_id))
+        if behaviour == "shed" and self.retry_after.replace(".", "").isdecimal():
+            self.pauses.append((now, request_id, float(self.retry_after)))
         return await super()._respond(behaviour, run, reader, writer)
 
     def build_response(self, request_id: str, status: str = "200 OK") -> bytes:
@@ -66,7 +71,8 @@
     ``acknowledged_at`` holds when the store acknowledged each configuration version,
     ``draining_since`` when each upstream announced a drain or was removed, and
     ``exited_nodes`` the nodes that exited unexpectedly. ``node_faults`` and
-    ``store_outages`` hold the fault windows of each node.
+    ``store_outages`` hold the fault windows of each node, ``upstream_faults`` those of
+    the link to each upstream.
     """
 
     def __init__(self, stack: AsyncExitStack, folder) -> None:
@@ -78,6 +84,7 @@
         self.addresses: dict[str, str] = {}
         self.store_endpoints = {}
         self.node_faults: dict[str, FaultWindows] = {}
+        self.upstream_faults: dict[str, FaultWindows] = {}
         self.store_outages: dict[str, FaultWindows] = {}
         self.acknowledged_at: dict[int, float] = {}
         self.draining_since: dict[str, float] = {}
@@ -122,6 +129,7 @@
         upstream.address = address
         self.upstreams.append(upstream)
         self.upstream_proxies[identifier] = proxy
+        self.upstream_faults[identifier] = FaultWindows()
         await self.register_upstream(upstream)
         return upstream
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,6 +14,7 @@
 from .faults import FaultInjector
 from .fleet import SoakFleet
 from .invariants import find_violations
+from .notices import NoticeInjector, find_notice_violations
 
 # Time after the last fault until service must be normal, as the users require.
 RECOVERY_S = 4.0
@@ -38,16 +39,19 @@
             fleet = SoakFleet(stack, pathlib.Path(folder))
             await fleet.open()
             callers, injector = Callers(fleet, seed), FaultInjector(fleet, seed)
+            notices = NoticeInjector(fleet, seed)
             started_at = time.monotonic()
             calling = asyncio.create_task(callers.run())
-            await injector.run(length_s)
+            await asyncio.gather(injector.run(length_s), notices.run(length_s))
             await asyncio.sleep(RECOVERY_S)
             recovered_at = time.monotonic()
             await asyncio.sleep(NORMAL_SERVICE_S)
             callers.stop()
             await calling
             violations = [*find_violations(fleet, callers.calls, recovered_at)]
-            lines = [f"{at - started_at:7.3f} {text}" for at, text in injector.injected]
+            violations += find_notice_violations(fleet, callers.calls)
+            injected = sorted([*injector.injected, *notices.injected])
+            lines = [f"{at - started_at:7.3f} {text}" for at, text in injected]
             lines += violations
             lines += [
                 f"call {call.sent_at - started_at:7.3f} {call}"
@@ -64,7 +68,7 @@
         seed,
         len(callers.calls),
         served,
-        len(injector.injected),
+        len(injected),
         violations,
         "\n".join(lines),
     )
