--- a/measure/service_callers.py
+++ b/measure/service_callers.py
@@ -5,13 +5,14 @@
 import asyncio
 import random
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from verbenacross.balancing.balancing_context import BalancingContext
 from verbenacross.balancing.exceptions import BalancingError
 from verbenacross.balancing.outcome import Abandoned, Failed, NotRun, Succeeded
 from verbenacross.balancing.prober import ProbeResult
 from verbenacross.balancing.service_balancer import ServiceBalancer
+from verbenacross.balancing.upstream_notice import NO_NOTICE
 
 from .service_model import ModelFailedError, ModelRejectedError
 
@@ -89,8 +90,9 @@
 class ModelProber:
     """Probes modelled upstreams; implements ``Prober``."""
 
-    def __init__(self, model: ServiceModel) -> None:
+    def __init__(self, model: ServiceModel, *, hears_notices: bool = True) -> None:
         self._model = model
+        self._hears_notices = hears_notices
         self.sent = 0
 
     async def probe(self, upstream: Upstream) -> ProbeResult | None:
@@ -102,17 +104,24 @@
             await asyncio.sleep(PROBE_TIMEOUT_S)
             return None
         report = target.report()
+        notice = target.get_notice() if self._hears_notices else NO_NOTICE
         await asyncio.sleep(self._model.profile.one_way_s)
-        return ProbeResult(report, is_healthy=True)
+        return ProbeResult(report, is_healthy=True, notice=notice)
 
 
 def build_balancer(
-    model: ServiceModel, instances: int, seed: int, probes_per_s: float = 60.0
+    model: ServiceModel,
+    instances: int,
+    seed: int,
+    probes_per_s: float = 60.0,
+    *,
+    hears_notices: bool = True,
 ) -> ServiceBalancer:
     """Returns the balancer of one of ``instances`` instances."""
     clock = asyncio.get_running_loop().time
+    prober = ModelProber(model, hears_notices=hears_notices)
     balancer = ServiceBalancer(
-        "model", f"i{seed}", "a", ModelProber(model), random.Random(seed), clock
+        "model", f"i{seed}", "a", prober, random.Random(seed), clock
     )
     for target in model.upstreams.values():
         balancer.set_upstream(target.upstream)
@@ -120,10 +129,31 @@
     return balancer
 
 
+class Arrival(NamedTuple):
+    """A request that arrived at an upstream from one of the choosers."""
+
+    at: float
+    chooser: int
+    upstream: str
+
+
 class Callers:
-    """Open-loop callers of a modelled service."""
+    """Open-loop callers of a modelled service.
+
+    ``arrivals`` lists the requests that arrived at upstreams. Unless ``hears_notices``
+    is set, choosers do not learn what upstreams state about themselves.
+    """
 
-    def __init__(self, model: ServiceModel, choosers: list[Chooser], seed: int) -> None:
+    def __init__(
+        self,
+        model: ServiceModel,
+        choosers: list[Chooser],
+        seed: int,
+        *,
+        hears_notices: bool = False,
+    ) -> None:
+        self.arrivals: list[Arrival] = []
+        self._hears_notices = hears_notices
         self._model = model
         self._choosers = choosers
         self._generator = random.Random(seed)
@@ -228,6 +258,7 @@
         try:
             await asyncio.sleep(self._model.profile.one_way_s)
             target = self._model.upstreams[tracked.upstream.id]
+            self._record_arrival(chooser, tracked)
             report = await target.serve(service_time_s)
             await asyncio.sleep(self._model.profile.one_way_s)
             outcome = Succeeded(self._loop.time() - started, report)
@@ -239,4 +270,14 @@
             outcome = NotRun(None)
             return False
         finally:
+            if self._hears_notices and isinstance(chooser, ServiceBalancer):
+                notice = self._model.upstreams[tracked.upstream.id].get_notice()
+                chooser.apply_notice(tracked, notice)
             chooser.release(tracked, context, outcome)
+
+    def _record_arrival(self, chooser: Chooser, tracked: TrackedUpstream) -> None:
+        self.arrivals.append(
+            Arrival(
+                self._loop.time(), self._choosers.index(chooser), tracked.upstream.id
+            )
+        )
--- a/measure/service_model.py
+++ b/measure/service_model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections import deque
 from dataclasses import dataclass
@@ -10,6 +11,7 @@
 
 from verbenacross.balancing.load_report import LoadReport
 from verbenacross.balancing.upstream import Upstream
+from verbenacross.balancing.upstream_notice import UpstreamNotice
 
 
 class ServiceProfile(NamedTuple):
@@ -53,6 +55,9 @@
     # Share of requests that are rejected without running, independent of load.
     shedding_share: float = 0.0
     is_silent: bool = False
+    # What the upstream states about itself; a busy one rejects all requests.
+    is_leaving: bool = False
+    busy_until: float = -math.inf
 
     def __post_init__(self) -> None:
         self._waiting: deque[asyncio.Future[None]] = deque()
@@ -76,10 +81,17 @@
             self.running, len(self._waiting), self.profile.slots, self.get_slowness()
         )
 
+    def get_notice(self) -> UpstreamNotice:
+        """Returns what the upstream states about itself in a response now."""
+        now = asyncio.get_running_loop().time()
+        return UpstreamNotice(self.is_leaving, max(0.0, self.busy_until - now))
+
     async def serve(self, service_time_s: float) -> LoadReport:
         """Runs a request; raises ``ModelRejectedError`` or ``ModelFailedError``."""
         if self.is_silent:
             await asyncio.Event().wait()
+        if self.get_notice().busy_for_s:
+            raise ModelRejectedError
         if self.generator.random() < self.failing_share:
             self.runs += 1
             raise ModelFailedError
--- a/tests/balancing/test_notices.py
+++ b/tests/balancing/test_notices.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from measure.notices import run_notice
 from measure.virtual_loop import run_in_virtual_time
 from tests.fake_clock import FakeClock
 from verbenacross.balancing.exceptions import NoUpstreamError
@@ -177,6 +178,16 @@
     assert run(scenario) == MAX_REMOVED_UPSTREAMS
 
 
+@pytest.mark.parametrize("notice", ["leaving", "busy"])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_instance_sends_more_after_it_was_told(notice, seed):
+    """Of 13 instances, each learns it for itself while the others go on."""
+    result = run_notice(notice, instances=13, upstreams=15, heard=True, seed=seed)
+
+    assert result.late_arrivals == 0
+    assert result.refused == 0
+
+
 NAMES = st.sampled_from(["u1", "u2", "u3"])
 
 
