--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -16,10 +16,10 @@
     from .callers import Call
     from .fleet import SoakFleet, SoakUpstream
 
-MIN_INTERVAL_S = 0.5
-MAX_INTERVAL_S = 2.5
+MIN_INTERVAL_S = 0.2
+MAX_INTERVAL_S = 1.2
 # Values of Retry-After; the last three are mistakes of the upstream.
-RETRY_AFTER_VALUES = ("1", "0.7", "2.5", "1.5", "soon", "-3", "")
+RETRY_AFTER_VALUES = ("0.7", "2", "2.5", "3", "soon", "-3", "")
 # Upstreams that neither leave nor drain; one of them may start to leave.
 MIN_STAYING = 3
 # A busy upstream may get so many requests from an instance between the settling time
@@ -43,25 +43,24 @@
         """Injects notices for ``length_s``."""
         end = time.monotonic() + length_s
         while time.monotonic() < end:
-            if self._generator.random() < 0.5:
-                await self._leave()
-            else:
-                self._be_busy(self._generator.choice(self._fleet.upstreams))
+            staying = [
+                upstream
+                for upstream in self._fleet.upstreams
+                if not upstream.is_leaving
+                and upstream.id not in self._fleet.draining_since
+            ]
+            upstream = self._generator.choice(staying)
+            if self._generator.random() < 0.8:
+                self._be_busy(upstream)
+            elif len(staying) > MIN_STAYING:
+                await self._leave(upstream)
             await asyncio.sleep(self._generator.uniform(MIN_INTERVAL_S, MAX_INTERVAL_S))
 
     def _record(self, text: str) -> None:
         self.injected.append((time.monotonic(), text))
 
-    async def _leave(self) -> None:
+    async def _leave(self, upstream: SoakUpstream) -> None:
         """Lets an upstream say that it leaves; perhaps it never does, or denies it."""
-        staying = [
-            upstream
-            for upstream in self._fleet.upstreams
-            if not upstream.is_leaving and upstream.id not in self._fleet.draining_since
-        ]
-        if len(staying) <= MIN_STAYING:
-            return
-        upstream = self._generator.choice(staying)
         self._record(f"{upstream.id} says that it leaves")
         upstream.is_leaving = True
         await self._fleet.add_upstream(f"u{len(self._fleet.upstreams)}")
@@ -73,7 +72,7 @@
     def _be_busy(self, upstream: SoakUpstream) -> None:
         upstream.retry_after = self._generator.choice(RETRY_AFTER_VALUES)
         count = self._generator.randint(1, 4)
-        upstream.behaviours += ["shed"] * count
+        upstream.behaviours[:0] = ["shed"] * count
         self._record(f"{upstream.id} is busy {count} times: {upstream.retry_after!r}")
 
 
