Fuzz: statements of upstreams that mean nothing or are of another one

Own responses carry malformed values of Server-Leaving and Retry-After; foreign ones and those without an id carry valid ones. After each input no upstream may be marked as leaving or busy.

--- a/tests/fuzz/server_bytes.py
+++ b/tests/fuzz/server_bytes.py
@@ -26,13 +26,25 @@
     *("earlier-answer", "earlier-refusal", "interim", "garbage", "blank"),
 ]
 ENDS = ["keep", "close", "reset"]
+# Statements of another server, which must not count for this one.
+FOREIGN_NOTICES = "Server-Leaving: 1\r\nRetry-After: 60\r\n"
+# Statements of the server itself that mean nothing.
+MALFORMED_NOTICES = [
+    *("Server-Leaving: 0", "Server-Leaving: yes", "Server-Leaving: 11"),
+    *("Server-Leaving:", "Retry-After:", "Retry-After: 0", "Retry-After: -1"),
+    *("Retry-After: soon", "Retry-After: nan", "Retry-After: inf"),
+    *("Retry-After: 1e9", "Retry-After: 0x10", "Retry-After: 1 2", "Retry-After: ."),
+    "Retry-After: Thu, 01 Jan 1970 00:00:00 GMT",
+    "Retry-After: Thu, 99 Foo 99999 00:00:00 GMT",
+]
 
 
 class Script(NamedTuple):
     """What a server does with one request.
 
     It writes pieces that belong to no or another request ``before`` and ``after`` its
-    own one, the latter at once or late, and then ends the connection or keeps it.
+    own one, the latter at once or late, and then ends the connection or keeps it. Its
+    own response carries ``notices``.
     """
 
     before: list[str]
@@ -40,6 +52,7 @@
     after: list[str]
     is_late: bool
     end: str
+    notices: tuple[str, ...] = ()
 
     def runs(self) -> bool:
         """Returns whether the server runs the request."""
@@ -53,6 +66,7 @@
     st.lists(st.sampled_from(FOREIGN_PIECES), max_size=2),
     st.booleans(),
     st.sampled_from(ENDS),
+    st.lists(st.sampled_from(MALFORMED_NOTICES), max_size=2).map(tuple),
 )
 
 
@@ -61,12 +75,18 @@
     return f"the bytes for {request_id}".encode()
 
 
-def build_answer(request_id: str | None, body: bytes, length: int, status="200 OK"):
+def build_answer(
+    request_id: str | None,
+    body: bytes,
+    length: int,
+    status: str = "200 OK",
+    notices: str = "",
+) -> bytes:
     """Returns an answer, without an id if ``request_id`` is ``None``."""
     identity = "" if request_id is None else f"X-Request-Id: {request_id}\r\n"
     head = (
         f"HTTP/1.1 {status}\r\n{identity}X-Upstream-Signature: {SIGNATURE}\r\n"
-        f"Content-Length: {length}\r\n\r\n"
+        f"{notices}Content-Length: {length}\r\n\r\n"
     )
     return head.encode() + body
 
@@ -84,32 +104,33 @@
             script = Script([], "answer", [], False, "keep")
         if script.runs():
             self.runs.append(run)
+        notices = "".join(f"{notice}\r\n" for notice in script.notices)
         for piece in [*script.before, script.own]:
-            writer.write(self._build_piece(piece, request_id))
+            writer.write(self._build_piece(piece, request_id, notices))
         if script.is_late:
             await writer.drain()
             await asyncio.sleep(LATE_S)
         for piece in [] if script.own in INCOMPLETE_PIECES else script.after:
-            writer.write(self._build_piece(piece, request_id))
+            writer.write(self._build_piece(piece, request_id, ""))
         self.earlier_ids.append(request_id)
         if script.end == "reset":
             await writer.drain()
             reset(writer)
         return script.end == "keep" and script.own not in INCOMPLETE_PIECES
 
-    def _build_piece(self, piece: str, request_id: str) -> bytes:
+    def _build_piece(self, piece: str, request_id: str, notices: str) -> bytes:
         body = build_body(request_id)
         # The latest attempt may be one of the same request at another server.
         earlier_ids = [name for name in self.earlier_ids[-4:] if name != request_id]
         earlier = earlier_ids[-1] if earlier_ids else "earlier"
         match piece:
             case "answer":
-                return build_answer(request_id, body, len(body))
+                return build_answer(request_id, body, len(body), notices=notices)
             case "failure":
                 status = "500 Internal Server Error"
-                return build_answer(request_id, body, len(body), status)
+                return build_answer(request_id, body, len(body), status, notices)
             case "refusal":
-                return build_refusal(request_id)
+                return build_refusal(request_id, notices=notices)
             case "truncated":
                 return build_answer(request_id, body, len(body))[:-3]
             case "long":
@@ -117,13 +138,15 @@
             case "short":
                 return build_answer(request_id, body, len(body) + 5)
             case "foreign-answer":
-                return build_answer("someone-else", b"foreign", 7)
+                return build_answer(
+                    "someone-else", b"foreign", 7, notices=FOREIGN_NOTICES
+                )
             case "foreign-refusal":
-                return build_refusal("someone-else")
+                return build_refusal("someone-else", notices=FOREIGN_NOTICES)
             case "anonymous-answer":
-                return build_answer(None, b"anonymous", 9)
+                return build_answer(None, b"anonymous", 9, notices=FOREIGN_NOTICES)
             case "anonymous-refusal":
-                return build_refusal(None)
+                return build_refusal(None, notices=FOREIGN_NOTICES)
             case "earlier-answer":
                 body = build_body(earlier)
                 return build_answer(earlier, body, len(body))
--- a/tests/fuzz/site.py
+++ b/tests/fuzz/site.py
@@ -93,6 +93,15 @@
                 assert "X-Upstream-Signature" in headers
             assert headers.get("X-Request-Id", request_id) == request_id
         await self._check_alive()
+        await self._check_no_notices()
+
+    async def _check_no_notices(self) -> None:
+        """Checks that only statements of a server itself that mean something count."""
+        state = await self.node.read_state()
+        upstreams = state["services"]["service-a"]["upstreams"]
+        for name, upstream in upstreams.items():
+            assert not upstream["leaving"], f"{name} is taken to leave"
+            assert not upstream["busy_for_s"], f"{name} is taken to be busy"
 
     def check_callers(self, requests: list[CallerRequest]) -> None:
         """Sends requests on one connection; raises ``AssertionError``."""
