--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -83,6 +83,13 @@
         while line := await self._process.stdout.readline():
             self.lines.append(json.loads(line))
 
+    @property
+    def pid(self) -> int:
+        return self._process.pid
+
+    def is_running(self) -> bool:
+        return self._process.returncode is None
+
     def send_signal(self, signal_number=signal.SIGKILL) -> None:
         os.kill(self._process.pid, signal_number)
 
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -55,6 +55,9 @@
             elif len(staying) > MIN_STAYING:
                 await self._leave(upstream)
             await asyncio.sleep(self._generator.uniform(MIN_INTERVAL_S, MAX_INTERVAL_S))
+        for upstream in self._fleet.upstreams:
+            # Rejections that are still to come must not ask for more time.
+            upstream.retry_after = ""
 
     def _record(self, text: str) -> None:
         self.injected.append((time.monotonic(), text))
