Report an array in place of an address in the settings as a finding

Cause: validation takes an array for the fields of the named tuple Address, so its host is not parsed; the check for conflicts then parses it.

Only agents, entries and clients read these settings, not the node.

--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -58,6 +58,8 @@
     ("kind", "document", "paths"),
     [
         (AgentSettings, AGENT | {"peer_links": True}, ["$.peer_links"]),
+        (EntrySettings, ENTRY | {"agent": ["", 0]}, ["$.agent"]),
+        (AgentSettings, AGENT | {"seeds": [["", 0]]}, ["$.seeds[0]"]),
         (AgentSettings, AGENT | {"peer_links": "6"}, ["$.peer_links"]),
         (AgentSettings, AGENT | {"log_level": "LOUD"}, ["$.log_level"]),
         (AgentSettings, AGENT | {"odd name": 1}, ['$["odd name"]']),
