Leave unparsed addresses out of the checks between settings

Address is as before; load_document leaves fields with an array in place of an object out of the checks between fields.

--- a/src/verbenacross/settings/address.py
+++ b/src/verbenacross/settings/address.py
@@ -10,15 +10,9 @@
 
 
 def parse_address(value: object) -> object:
-    """Parses a string into an ``Address``; leaves other values to validation.
-
-    Raises ``ValueError`` for an array, which validation would take for the fields of an
-    ``Address`` without parsing its host.
-    """
+    """Parses a string into an ``Address``; leaves other values to validation."""
     if isinstance(value, str):
         return Address.from_text(value)
-    if isinstance(value, list):
-        raise ValueError("must be an address, not an array")
     return value
 
 
--- a/src/verbenacross/settings/typed_document.py
+++ b/src/verbenacross/settings/typed_document.py
@@ -52,6 +52,9 @@
         faults = find_faults(error, source)
         findings += [fault for fault in faults if fault.path not in faulty]
         fields = get_valid_fields(document, kind, error)
+    # An array passes validation as the fields of a named tuple, unparsed.
+    arrays = {location[0] for location in locate_arrays(document, kind, ()) if location}
+    fields = {name: value for name, value in fields.items() if name not in arrays}
     findings += [
         Finding(source, conflict.path, conflict.message)
         for conflict in find_conflicts(kind, fields)
