--- a/src/verbenacross/entry/entry.py
+++ b/src/verbenacross/entry/entry.py
@@ -143,7 +143,9 @@
 
     def stop(self) -> None:
         """Starts a graceful shutdown."""
-        self._drain.start()
+        settings = self.settings
+        drain_ms = settings.drain_notice_ms + settings.drain_timeout_ms
+        self._drain.start(time.monotonic() + drain_ms / MS_PER_S)
         self._stopping.set()
 
     def is_ready(self) -> bool:
@@ -218,7 +220,7 @@
         validate_request(request)
         service = request.headers.get(SERVICE_HEADER) or read_service(request.path)
         selected = self._select_policy(request, service)
-        context = build_context(request, request_id, selected)
+        context = build_context(request, request_id, selected, self._drain)
         started = time.monotonic()
         response, upstream = await self._forwarder.forward(
             request, context, self._get_admission(service)
--- a/src/verbenacross/entry/request_reader.py
+++ b/src/verbenacross/entry/request_reader.py
@@ -23,6 +23,7 @@
 
     from ..policy import Policy
     from ..policy.policy_selector import SelectedPolicy
+    from ..transport.drain import Drain
 
 MS_PER_S = 1_000
 MAX_DIGITS = 15
@@ -34,14 +35,19 @@
 
 
 def build_context(
-    request: web.BaseRequest, request_id: str, selected: SelectedPolicy
+    request: web.BaseRequest,
+    request_id: str,
+    selected: SelectedPolicy,
+    drain: Drain,
 ) -> RequestContext:
     """Builds the context for routing and admission from a request.
 
-    Raises ``RequestProblemError`` if a header is malformed.
+    While draining, the deadline is at most the end of the process. Raises
+    ``RequestProblemError`` if a header is malformed.
     """
     policy = selected.policy
     request_class = classify_request(request.method, request.path, policy)
+    deadline = time.monotonic() + read_timeout_ms(request, policy) / MS_PER_S
     return RequestContext(
         request_id=request_id,
         service=policy.service,
@@ -49,7 +55,7 @@
         policy_revision=selected.revision,
         request_class=request_class,
         idempotent=is_idempotent(request.method, request_class),
-        deadline=time.monotonic() + read_timeout_ms(request, policy) / MS_PER_S,
+        deadline=drain.limit_deadline(deadline),
         caller_attempt=read_number(request, ATTEMPT_HEADER, "bad-attempt") or 1,
     )
 
--- a/src/verbenacross/node/request_handler.py
+++ b/src/verbenacross/node/request_handler.py
@@ -103,9 +103,7 @@
         self, request: web.BaseRequest, request_id: str, arrived: float
     ) -> web.StreamResponse:
         if self._shutdown.is_refusing():
-            return self._refuse(
-                503, "stopping", request_id, arrived, OTHER_INSTANCE_RETRY_AFTER_S
-            )
+            return self._refuse_while_stopping(request_id, arrived)
         if self._shutdown.drain.in_flight > self._max_in_flight:
             return self._refuse(
                 503,
@@ -158,6 +156,7 @@
         remaining_s = read_remaining_time_s(request)
         if remaining_s is not None:
             deadline = min(deadline, arrived + remaining_s)
+        deadline = self._shutdown.drain.limit_deadline(deadline)
         body = RequestBody(request, table.limits.max_body_bytes)
         try:
             async with asyncio.timeout_at(deadline):
@@ -167,6 +166,9 @@
             return self._refuse(400, "malformed-body", request_id, arrived)
         except TimeoutError:
             return self._refuse(408, "slow-body", request_id, arrived)
+        if self._shutdown.is_refusing():
+            # The end of the body arrived too late.
+            return self._refuse_while_stopping(request_id, arrived)
         service = self._destinations.select(route)
         context = BalancingContext(
             request_id=request_id,
@@ -211,6 +213,11 @@
         )
         return response
 
+    def _refuse_while_stopping(self, request_id: str, arrived: float) -> web.Response:
+        return self._refuse(
+            503, "stopping", request_id, arrived, OTHER_INSTANCE_RETRY_AFTER_S
+        )
+
     def _refuse(
         self,
         status: int,
--- a/src/verbenacross/node/shutdown.py
+++ b/src/verbenacross/node/shutdown.py
@@ -48,7 +48,7 @@
         if self.started.is_set():
             return
         self._started_at = self._loop.time()
-        self.drain.start()
+        self.drain.start(self._get_end())
         self.started.set()
         logger.info("stopping", extra={"in_flight": self.drain.in_flight})
 
@@ -64,7 +64,7 @@
     async def wait(self) -> None:
         """Waits until the process may exit."""
         await self.started.wait()
-        end = self._started_at + self.grace_s - KILL_MARGIN_S
+        end = self._get_end()
         refuse_at = self._started_at + max(
             DEREGISTRATION_DELAY_S, REFUSE_AFTER_SHARE * self.grace_s
         )
@@ -81,3 +81,6 @@
                 "after_s": round(self._loop.time() - self._started_at, 2),
             },
         )
+
+    def _get_end(self) -> float:
+        return self._started_at + self.grace_s - KILL_MARGIN_S
--- a/src/verbenacross/transport/drain.py
+++ b/src/verbenacross/transport/drain.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from aiohttp import web
 
 
+# Time for a response at the deadline of a request to reach its caller, in seconds.
+LAST_RESPONSE_S = 0.1
+
+
 class Drain:
     """Counts requests in flight and waits for them at shutdown."""
 
     def __init__(self) -> None:
         self.started = False
+        self._end = math.inf
         self.in_flight = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -28,12 +34,21 @@
         if self.started and self.in_flight == 0:
             self._idle.set()
 
-    def start(self) -> None:
-        """Starts draining."""
+    def start(self, end: float) -> None:
+        """Starts draining until a monotonic time at which requests are cut off."""
         self.started = True
+        self._end = end
         if self.in_flight:
             self._idle.clear()
 
+    def limit_deadline(self, deadline: float) -> float:
+        """Returns the deadline of a request, at most what the process can keep.
+
+        Its caller is then told the outcome instead of being cut off, and its upstream
+        does not work for nobody.
+        """
+        return min(deadline, self._end - LAST_RESPONSE_S)
+
     def set_connection_close(self, response: web.StreamResponse) -> None:
         """Adds ``Connection: close`` to a response that is sent while draining."""
         if self.started:
--- a/tests/integration/entry/test_shutdown.py
+++ b/tests/integration/entry/test_shutdown.py
@@ -109,6 +109,22 @@
         assert 3.0 < time.monotonic() - started < 5.5
 
 
+def test_request_that_cannot_end_before_the_process_is_answered(path, stopping_entry):
+    """Guards against a cut connection where the caller can be told the outcome."""
+    with RawCaller(path.get_port(stopping_entry)) as caller:
+        stop(path, stopping_entry)
+        assert wait_for(lambda: not is_ready(path, stopping_entry), 0.5)
+        # The entry still takes requests of open connections.
+        caller.send(
+            build_request(
+                "/work/x", "POST", b"{}", X_Work_Ms=10_000, Request_Timeout_Ms=60_000
+            )
+        )
+        status, _, _ = caller.read_response()
+        assert status == 504
+        assert wait_for_exit(path, stopping_entry, 3.0) == 0
+
+
 def send_in_loop(port, service, results, stopped) -> None:
     """Sends requests on a keep-alive connection; appends each status or error."""
     connection = http.client.HTTPConnection(HOST, port, timeout=5)
