Identify tenants by API keys

Change: the configuration's tenants and keys are decoded into a table of keyed hashes. Requests without a valid key get 401, or 503 while the configuration may be out of date. Upstreams receive the name of the tenant and never the key. A tenant's priority replaces that of the route. Without tenants nothing changes.

--- a/src/verbenacross/feed/synchronizer.py
+++ b/src/verbenacross/feed/synchronizer.py
@@ -106,6 +106,13 @@
         """Returns whether the records match the store, apart from short delays."""
         return self._reader.is_fresh() or self._has_fresh_source()
 
+    def get_staleness_s(self) -> float:
+        """Returns for how many seconds the records may not match the store.
+
+        Returns 0 while they do.
+        """
+        return 0.0 if self.is_fresh() else time.monotonic() - self._fresh_at
+
     def is_source(self) -> bool:
         """Returns whether this instance reads the store because no source is fresh."""
         return self._reader.is_fresh() and not self._has_fresh_source()
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -21,6 +21,7 @@
 from ..platform.records import NODE_PREFIX, WATCHED_PREFIX, decode_change
 from ..platform.store import PlatformStore
 from ..routes.destination_selector import DestinationSelector
+from ..tenants.quota_gate import UnlimitedQuotaGate
 from ..transport.buffer_budget import BufferBudget
 from ..transport.caller_server import CLOSE_TIMEOUT_S, CallerServer
 from ..transport.listening import LISTEN_BACKLOG
@@ -34,6 +35,7 @@
 from .request_handler import RequestHandler
 from .settings_watcher import SettingsWatcher
 from .shutdown import Shutdown
+from .tenant_admission import TenantAdmission
 from .upstream_prober import UpstreamProber
 
 if TYPE_CHECKING:
@@ -106,6 +108,11 @@
         self.buffers = BufferBudget(
             int(settings.memory_mb * BYTES_PER_MB * BUFFER_SHARE)
         )
+        self.admission = TenantAdmission(
+            self.synchronizer.get_staleness_s,
+            UnlimitedQuotaGate(),
+            settings.revocation_timeout_s,
+        )
         self.handler = RequestHandler(
             self.discovery,
             self.balancers,
@@ -116,6 +123,7 @@
             DestinationSelector(random.Random()),
             settings.memory_mb * REQUESTS_PER_MB,
             self.buffers,
+            self.admission,
         )
         self.discovery.table_changes.subscribe(self._apply_limits)
 
@@ -195,6 +203,7 @@
         self.balancers.apply_settings(settings)
         self.shutdown.grace_s = settings.grace_period_s
         self.synchronizer.set_seeds(settings.seeds)
+        self.admission.revocation_timeout_s = settings.revocation_timeout_s
 
     def dump_state(self) -> dict[str, Any]:
         """Returns the state of the process for JSON."""
@@ -222,6 +231,8 @@
             ("subscribers", self.publisher.subscriber_count),
             ("is_fresh", self.synchronizer.is_fresh()),
             ("configuration_version", table.version if table else 0),
+            ("tenants", len(table.tenants.tenants) if table and table.tenants else 0),
+            ("api_keys", table.tenants.key_count if table and table.tenants else 0),
             ("instances", self.balancers.instance_count),
             ("waiting", self.balancers.count_waiting()),
             ("probes", self.balancers.count_probes()),
--- a/src/verbenacross/node/node_metrics.py
+++ b/src/verbenacross/node/node_metrics.py
@@ -34,6 +34,11 @@
             "Requests refused before a choice, by problem",
             registry=self.registry,
         )
+        self._over_quota = Counter(
+            "verbenacross_over_quota_total",
+            "Requests refused because the tenant has used up its quota",
+            registry=self.registry,
+        )
         self.gauges = Gauge(
             "verbenacross_state",
             "State of the process by name",
@@ -55,3 +60,7 @@
     def record_refusal(self, problem: str) -> None:
         """Records a request that was refused before an upstream was chosen."""
         self._refusals.inc({"problem": problem})
+
+    def record_over_quota(self, tenant: str) -> None:
+        """Records a request that was refused because of its tenant's quota."""
+        self._over_quota.inc({"tenant": tenant})
--- a/src/verbenacross/node/proxied_request.py
+++ b/src/verbenacross/node/proxied_request.py
@@ -11,6 +11,7 @@
 
 from ..balancing.exceptions import BalancingError
 from ..balancing.outcome import Abandoned
+from ..platform.headers import API_KEY, TENANT
 from ..transport.exceptions import (
     SlowCallerError,
     StreamLimitError,
@@ -40,6 +41,7 @@
     from ..balancing.tracked_upstream import TrackedUpstream
     from ..balancing.windowed_retry_budget import WindowedRetryBudget
     from ..routes.route import Route
+    from ..tenants.tenant import Tenant
     from ..transport.buffer_budget import BufferReservation
     from ..transport.request_body import RequestBody
     from ..transport.upstream_client import UpstreamClient
@@ -99,6 +101,13 @@
         # id, a late response to an earlier request would be taken for its response.
         self._needs_new_connection = not (route.idempotent and context.request_id)
 
+    def set_tenant(self, tenant: Tenant | None) -> None:
+        """Replaces the API key by the name of the tenant in what upstreams receive."""
+        self._headers.popall(API_KEY, None)
+        self._headers.popall(TENANT, None)
+        if tenant is not None:
+            self._headers[TENANT] = tenant.name
+
     async def run(self) -> web.StreamResponse:
         """Proxies the request and returns the response, sent already if streamed.
 
--- a/src/verbenacross/node/request_handler.py
+++ b/src/verbenacross/node/request_handler.py
@@ -18,10 +18,12 @@
 from ..transport.request_target import RequestTarget
 from .problem_response import build_problem_response
 from .proxied_request import ProxiedRequest
+from .tenant_admission import Admitted, OverQuota, Unauthorized, Unverified
 
 if TYPE_CHECKING:
     from ..routes.route import Route
     from ..routes.route_table import RouteTable
+    from ..tenants.tenant import Tenant
     from ..transport.buffer_budget import BufferBudget, BufferReservation
     from ..transport.upstream_client import UpstreamClient
     from .balancer_registry import BalancerRegistry
@@ -29,6 +31,7 @@
     from .discovery_state import DiscoveryState
     from .node_metrics import NodeMetrics
     from .shutdown import Shutdown
+    from .tenant_admission import QuotaCredit, TenantAdmission
 
 MS_PER_S = 1_000
 HTTP_SERVER_ERROR = 500
@@ -65,6 +68,7 @@
         destinations: DestinationSelector,
         max_in_flight: int,
         buffers: BufferBudget,
+        admission: TenantAdmission,
     ) -> None:
         self._discovery = discovery
         self._balancers = balancers
@@ -75,6 +79,7 @@
         self._destinations = destinations
         self._max_in_flight = max_in_flight
         self._buffers = buffers
+        self._admission = admission
         self._loop = asyncio.get_running_loop()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -138,13 +143,29 @@
         route = table.find(read_host(request, target), target.path)
         if route is None:
             return self._refuse(404, "unknown-route", request_id, arrived)
-        if not route.idempotent:
-            # A caller repeats what it sent behind a response that closes the
-            # connection.
-            await wait_turn(request)
-        return await self._proxy(
-            request, target.path_and_query, request_id, arrived, table, route, held
-        )
+        match self._admission.admit(request, table, route, arrived):
+            case Unauthorized():
+                return self._refuse(401, "unknown-key", request_id, arrived)
+            case Unverified(retry_after_s):
+                return self._refuse(
+                    503, "key-not-verified", request_id, arrived, retry_after_s
+                )
+            case OverQuota(tenant, retry_after_s):
+                self._metrics.record_over_quota(tenant.name)
+                return self._refuse(
+                    429, "over-quota", request_id, arrived, retry_after_s
+                )
+            case Admitted(tenant):
+                pass
+        with self._admission.hold_credit(tenant, self._loop.time) as credit:
+            if not route.idempotent:
+                # A caller repeats what it sent behind a response that closes the
+                # connection.
+                await wait_turn(request)
+            path = target.path_and_query
+            return await self._proxy(
+                request, path, request_id, arrived, table, route, tenant, credit, held
+            )
 
     async def _wait_until_loaded(self, request: web.BaseRequest) -> RouteTable | None:
         """Returns the route table, ``None`` if it is not loaded in time."""
@@ -166,6 +187,8 @@
         arrived: float,
         table: RouteTable,
         route: Route,
+        tenant: Tenant | None,
+        credit: QuotaCredit,
         held: BufferReservation,
     ) -> web.StreamResponse:
         deadline = arrived + route.timeout_s
@@ -186,10 +209,13 @@
             # The end of the body arrived too late.
             return self._refuse_while_stopping(request_id, arrived)
         service = self._destinations.select(route)
+        priority = route.priority
+        if tenant is not None and tenant.priority is not None:
+            priority = tenant.priority
         context = BalancingContext(
             request_id=request_id,
             request_kind=route.name,
-            priority=route.priority,
+            priority=priority,
             arrived_at=arrived,
             target_at=arrived + route.target_latency_s,
             deadline=deadline,
@@ -206,7 +232,12 @@
             self._balancers.instance_count,
             held,
         )
-        response = await proxied.run()
+        if table.tenants is not None:
+            proxied.set_tenant(tenant)
+        try:
+            response = await proxied.run()
+        finally:
+            credit.is_used = proxied.may_have_run
         if body.is_too_large and not response.prepared:
             # The upstream got a part of the body only, so it did not run the request.
             return self._refuse(413, "body-too-large", request_id, arrived)
@@ -221,6 +252,7 @@
             {
                 "route": route.name,
                 "service": service,
+                "tenant": tenant.name if tenant is not None else None,
                 "version": table.version,
                 "status": response.status,
                 "upstream": proxied.upstream,
--- a/src/verbenacross/node/settings.py
+++ b/src/verbenacross/node/settings.py
@@ -19,8 +19,10 @@
     ``seeds`` are peer addresses of instances; some may be out of date.
     ``is_first_start`` states that all instances start now and that none has ever run
     before. The process is killed ``grace_period_s`` after the signal to stop. The
-    limits on retries and probes are shared by all instances. ``link_mbps`` is the
-    bandwidth of the instance's link; instances with more of it send records to others.
+    limits on retries and probes are shared by all instances. API keys are accepted for
+    ``revocation_timeout_s`` while no source confirms the configuration; 0 is no limit.
+    ``link_mbps`` is the bandwidth of the instance's link; instances with more of it
+    send records to others.
     """
 
     instance: str
@@ -40,6 +42,7 @@
     retry_window_s: float
     retry_slack: float
     probes_per_second: float
+    revocation_timeout_s: float
     log_level: str
     log_lines_per_second: int
 
@@ -77,6 +80,7 @@
             retry_window_s=root.get_duration("retry_window"),
             retry_slack=root.get_number("retry_slack", 0.0),
             probes_per_second=root.get_number("probes_per_second", 0.0),
+            revocation_timeout_s=root.get_duration("revocation_timeout", "0s"),
             log_level=root.get_string("log_level", default="INFO"),
             log_lines_per_second=root.get_int("log_lines_per_second", 1, default=200),
         )
--- /dev/null
+++ b/src/verbenacross/node/tenant_admission.py
@@ -0,0 +1,114 @@
+"""Identifies the tenant of a request by its API key and checks the tenant's quota."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..platform.headers import API_KEY
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from aiohttp import web
+
+    from ..routes.route import Route
+    from ..routes.route_table import RouteTable
+    from ..tenants.quota_gate import QuotaGate
+    from ..tenants.tenant import Tenant
+
+# Retry-After for an unknown key while the configuration may be out of date, in seconds:
+# the retry may reach another instance, which has the current one.
+STALE_RETRY_AFTER_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The request may be sent; ``tenant`` is ``None`` where no key is needed."""
+
+    tenant: Tenant | None
+
+
+@dataclass(frozen=True, slots=True)
+class Unauthorized:
+    """The request has no valid API key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unverified:
+    """The configuration may be out of date, so the key cannot be judged."""
+
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class OverQuota:
+    """The tenant has used up its quota."""
+
+    tenant: Tenant
+    retry_after_s: float
+
+
+@dataclass(slots=True)
+class QuotaCredit:
+    """A credit taken for a request; ``is_used`` once the request may have run."""
+
+    is_used: bool = False
+
+
+AdmissionResult = Admitted | Unauthorized | Unverified | OverQuota
+
+
+class TenantAdmission:
+    """Identifies the tenants of requests and checks their quotas.
+
+    ``get_staleness_s`` returns for how many seconds the configuration has not been
+    confirmed by any source, 0 while it is current. Known keys are accepted for
+    ``revocation_timeout_s`` in that state, without a limit if it is 0.
+    """
+
+    def __init__(
+        self,
+        get_staleness_s: Callable[[], float],
+        quotas: QuotaGate,
+        revocation_timeout_s: float = 0.0,
+    ) -> None:
+        self.revocation_timeout_s = revocation_timeout_s
+        self._get_staleness_s = get_staleness_s
+        self._quotas = quotas
+
+    def admit(
+        self, request: web.BaseRequest, table: RouteTable, route: Route, now: float
+    ) -> AdmissionResult:
+        """Identifies the tenant and takes a credit of its quota.
+
+        An admitted request is handled within ``hold_credit``.
+        """
+        if table.tenants is None or route.is_public:
+            return Admitted(None)
+        keys = request.headers.getall(API_KEY, ())
+        tenant = table.tenants.find(keys[0]) if len(keys) == 1 else None
+        staleness_s = self._get_staleness_s()
+        if tenant is None:
+            if staleness_s > 0 and len(keys) == 1:
+                return Unverified(STALE_RETRY_AFTER_S)
+            return Unauthorized()
+        if 0 < self.revocation_timeout_s < staleness_s:
+            return Unverified(STALE_RETRY_AFTER_S)
+        retry_after_s = self._quotas.admit(tenant, now)
+        if retry_after_s is not None:
+            return OverQuota(tenant, retry_after_s)
+        return Admitted(tenant)
+
+    @contextmanager
+    def hold_credit(
+        self, tenant: Tenant | None, get_time: Callable[[], float]
+    ) -> Iterator[QuotaCredit]:
+        """Returns the credit of an admitted request on exit unless it is used."""
+        credit = QuotaCredit()
+        try:
+            yield credit
+        finally:
+            if tenant is not None and not credit.is_used:
+                self._quotas.refund(tenant, get_time())
--- a/src/verbenacross/platform/configuration.py
+++ b/src/verbenacross/platform/configuration.py
@@ -9,6 +9,8 @@
 from ..routes.route import Route, WeightedService
 from ..routes.route_table import RouteTable
 from ..routes.service import Service
+from ..tenants.tenant import Tenant
+from ..tenants.tenant_table import TenantTable
 
 if TYPE_CHECKING:
     from ..documents.fields import Fields
@@ -43,6 +45,7 @@
         limits=decode_limits(root.get_object("limits")),
         routes=routes,
         services=services,
+        tenants=decode_tenants(root) if root.has("tenants") else None,
     )
     document.finish()
     return table
@@ -54,6 +57,7 @@
         name=cluster.get_string("name"),
         health_path=cluster.get_string("health_check_path"),
         max_connections=cluster.get_int("max_connections", 1),
+        cold_rate=cluster.get_number("warmup_per_s", 0.0, default=0.0),
     )
 
 
@@ -73,6 +77,7 @@
         timeout_s=action.get_duration("timeout"),
         max_attempts=action.get_int("max_attempts", 1),
         destinations=decode_destinations(action),
+        is_public=rule.get_bool("public", default=False),
     )
 
 
@@ -89,6 +94,42 @@
     return destinations
 
 
+def decode_tenants(root: Fields) -> TenantTable:
+    """Decodes the tenants; findings name the places of keys, never the keys."""
+    tenants_by_key: dict[str, Tenant] = {}
+    places: dict[str, str] = {}
+    names: set[str] = set()
+    for index, fields in enumerate(root.get_objects("tenants")):
+        tenant = decode_tenant(fields)
+        if tenant.name in names:
+            fields.add_finding("name", f"tenant {tenant.name!r} is defined twice")
+        names.add(tenant.name)
+        for position, key in enumerate(fields.get_strings("api_keys")):
+            place = f"$.tenants[{index}].api_keys[{position}]"
+            if not key:
+                fields.add_finding("api_keys", f"the key at {place} is empty")
+            elif key in places:
+                message = f"the key at {place} is also at {places[key]}"
+                fields.add_finding("api_keys", message)
+            places.setdefault(key, place)
+            tenants_by_key.setdefault(key, tenant)
+    return TenantTable(tenants_by_key)
+
+
+def decode_tenant(fields: Fields) -> Tenant:
+    """Decodes a tenant without its keys."""
+    name = fields.get_string("name")
+    if not (name.isascii() and name.isprintable()):
+        # The name is sent to upstreams in a header.
+        fields.add_finding("name", "must consist of printable ASCII characters")
+    return Tenant(
+        name=name,
+        priority=fields.get_int("priority", 0) if fields.has("priority") else None,
+        rate_per_s=fields.get_number("rate_per_s", 0.0, default=0.0),
+        burst=fields.get_number("burst", 0.0, default=0.0),
+    )
+
+
 def decode_limits(limits: Fields) -> CallerLimits:
     """Decodes the limits on what callers may send."""
     return CallerLimits(
--- a/src/verbenacross/routes/route.py
+++ b/src/verbenacross/routes/route.py
@@ -18,7 +18,7 @@
     ``target_latency_s`` is the latency objective: a later response is less useful to
     the caller. ``timeout_s`` is the longest time that a caller waits for a response.
     ``max_attempts`` limits how many upstreams one request is sent to. Priority 0 is the
-    most urgent.
+    most urgent. Requests on a public route need no API key.
     """
 
     name: str
@@ -30,6 +30,7 @@
     timeout_s: float
     max_attempts: int
     destinations: tuple[WeightedService, ...]
+    is_public: bool = False
 
     @property
     def key(self) -> tuple[str, str]:
--- a/src/verbenacross/routes/route_table.py
+++ b/src/verbenacross/routes/route_table.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
+    from ..tenants.tenant_table import TenantTable
     from .caller_limits import CallerLimits
     from .route import Route
     from .service import Service
@@ -15,7 +16,8 @@
 class RouteTable:
     """All routes, services and limits of one configuration version.
 
-    ``version`` is the operator's, ``revision`` the store's.
+    ``version`` is the operator's, ``revision`` the store's. Without ``tenants``,
+    requests need no API key.
     """
 
     def __init__(
@@ -25,11 +27,13 @@
         limits: CallerLimits,
         routes: Iterable[Route],
         services: Mapping[str, Service],
+        tenants: TenantTable | None = None,
     ) -> None:
         self.version = version
         self.revision = revision
         self.limits = limits
         self.services = services
+        self.tenants = tenants
         self.routes = {route.key: route for route in routes}
 
     def find(self, host: str, path: str) -> Route | None:
--- /dev/null
+++ b/src/verbenacross/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants, who share the services, and the API keys that identify them."""
