--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -117,3 +117,66 @@
     document["listeners"][0]["rules"][0]["tags"] = []
 
     assert decode(document).version == 7
+
+
+def build_document_with_tenants(*tenants):
+    document = copy.deepcopy(CONFIGURATION)
+    document["tenants"] = list(tenants)
+    document["listeners"][0]["rules"][1]["public"] = True
+    return document
+
+
+def test_tenants_are_taken_with_their_limits():
+    table = decode(
+        build_document_with_tenants(
+            {
+                "name": "library",
+                "api_keys": ["k1", "k2"],
+                "priority": 1,
+                "rate_per_s": 134,
+                "burst": 20,
+            },
+            {"name": "school", "api_keys": ["k3"]},
+        )
+    )
+
+    assert tuple(table.tenants.find("k2")) == ("library", 1, 134.0, 20.0)
+    assert tuple(table.tenants.find("k3")) == ("school", None, 0.0, 0.0)
+    assert table.tenants.find("k4") is None
+    assert not table.find("layers.example", "/maps/").is_public
+    assert table.find("layers.example", "/publish/").is_public
+
+
+def test_configuration_without_tenants_needs_no_keys():
+    assert decode(CONFIGURATION).tenants is None
+
+
+def test_tenant_without_keys_is_allowed():
+    """The last key of a tenant may be removed before the tenant is."""
+    table = decode(build_document_with_tenants({"name": "library", "api_keys": []}))
+
+    assert table.tenants.key_count == 0
+
+
+def test_faults_of_tenants_are_reported_without_the_keys():
+    document = build_document_with_tenants(
+        {"name": "library", "api_keys": ["secret-1", "secret-2"]},
+        {"name": "library", "api_keys": ["secret-2"], "priority": -1},
+        {"name": "caf\u00e9", "api_keys": [""], "rate_per_s": "many"},
+    )
+
+    with pytest.raises(InvalidDocumentError) as caught:
+        decode(document)
+
+    findings = caught.value.findings
+    assert {finding.path for finding in findings} == {
+        "$.tenants[1].name",
+        "$.tenants[1].priority",
+        "$.tenants[1].api_keys",
+        "$.tenants[2].name",
+        "$.tenants[2].api_keys",
+        "$.tenants[2].rate_per_s",
+    }
+    text = str(caught.value)
+    assert "$.tenants[0].api_keys[1]" in text
+    assert "secret" not in text
