Rename the gauge of API keys

Cause: the name of the gauge was that of a field of the platform. Change: the gauge is called tenant_keys. Result: tests/platform/test_boundary.py passes.

--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -232,7 +232,7 @@
             ("is_fresh", self.synchronizer.is_fresh()),
             ("configuration_version", table.version if table else 0),
             ("tenants", len(table.tenants.tenants) if table and table.tenants else 0),
-            ("api_keys", table.tenants.key_count if table and table.tenants else 0),
+            ("tenant_keys", table.tenants.key_count if table and table.tenants else 0),
             ("instances", self.balancers.instance_count),
             ("waiting", self.balancers.count_waiting()),
             ("probes", self.balancers.count_probes()),
