Use the room of other failure domains when local upstreams are full

Cause: instances of a failure domain whose callers exceed its upstreams spent their probes on full local upstreams. Ruled out: ejected upstreams (0 to 9 of 30) and lack of slots (upstreams of recife-a were idle). Change: each instance keeps the share of suitable upstreams that reports of each failure domain showed. Domains with far more of them are probed at once, and upstreams without a recent report are used when the budget is exhausted.

--- a/measure/service_callers.py
+++ b/measure/service_callers.py
@@ -116,12 +116,13 @@
     probes_per_s: float = 60.0,
     *,
     hears_notices: bool = True,
+    failure_domain: str = "a",
 ) -> ServiceBalancer:
     """Returns the balancer of one of ``instances`` instances."""
     clock = asyncio.get_running_loop().time
     prober = ModelProber(model, hears_notices=hears_notices)
     balancer = ServiceBalancer(
-        "model", f"i{seed}", "a", prober, random.Random(seed), clock
+        "model", f"i{seed}", failure_domain, prober, random.Random(seed), clock
     )
     for target in model.upstreams.values():
         balancer.set_upstream(target.upstream)
--- a/src/verbenacross/balancing/probe_scheduler.py
+++ b/src/verbenacross/balancing/probe_scheduler.py
@@ -9,6 +9,7 @@
 import logbook
 
 from .completion_estimate import estimate_completion
+from .domain_yield import DomainYield
 from .load_report import LoadReport
 from .token_bucket import TokenBucket
 
@@ -29,6 +30,9 @@
 # Upstreams at or above this slowness are probed only after all others.
 PROMISING_SLOWNESS = 2.0
 PROBES_PER_ROUND = 3
+# Local upstreams are probed first unless the share of them that is suitable is below
+# this multiple of that in another failure domain.
+LOCAL_YIELD_SHARE = 0.5
 MAX_PROBES_PER_ROUND = 12
 # Seconds of unused budget that may be spent during a load peak.
 PROBE_BURST_S = 4.0
@@ -44,7 +48,9 @@
 class ProbeScheduler:
     """Probes the most promising upstreams within this instance's part of the budget.
 
-    ``sent`` counts the probes that were sent.
+    ``sent`` counts the probes that were sent, ``yields`` tells how many of them found a
+    suitable upstream. ``is_exhausted`` is set while the budget does not allow for the
+    probes that the waiting requests need.
     """
 
     def __init__(
@@ -55,6 +61,8 @@
         clock: Callable[[], float],
     ) -> None:
         self.sent = 0
+        self.yields = DomainYield()
+        self.is_exhausted = False
         self._prober = prober
         self._failure_domain = failure_domain
         self._generator = generator
@@ -87,6 +95,7 @@
         running = [tracked.probe for tracked in eligible if tracked.probe is not None]
         targets = self._select_targets(eligible, waiting, now, fresh_are_unsuitable)
         count = self._budget.consume(len(targets), now)
+        self.is_exhausted = count < len(targets)
         for tracked in targets[:count]:
             tracked.probe = asyncio.create_task(self._probe(tracked))
             running.append(tracked.probe)
@@ -159,7 +168,7 @@
             for tracked in candidates
             if tracked not in promising and tracked.upstream.id not in slow
         ]
-        if len(waiting) == 1:
+        if len(waiting) == 1 and self.prefers_local(eligible):
             # Local upstreams come first; at a load peak, remote ones are needed too.
             others.sort(key=self._is_remote)
         rest = [tracked for tracked in candidates if tracked.upstream.id in slow]
@@ -171,6 +180,20 @@
         """Returns the estimated completion time for a service time of one second."""
         return estimate_completion(tracked, 1.0, self._failure_domain, now).completion_s
 
+    def prefers_local(self, eligible: Sequence[TrackedUpstream]) -> bool:
+        """Returns whether local upstreams are worth probing before the others.
+
+        They are not while far fewer of them turn out to be suitable.
+        """
+        now = self._clock()
+        remote = {
+            tracked.upstream.failure_domain
+            for tracked in eligible
+            if self._is_remote(tracked)
+        }
+        best = max((self.yields.get(domain, now) for domain in remote), default=0.0)
+        return self.yields.get(self._failure_domain, now) >= LOCAL_YIELD_SHARE * best
+
     def _is_remote(self, tracked: TrackedUpstream) -> bool:
         return tracked.upstream.failure_domain != self._failure_domain
 
@@ -208,6 +231,7 @@
         if report is None:
             report = LoadReport(tracked.in_flight, 0, tracked.upstream.slots, 1.0)
         tracked.apply_report(report, requested_at, now)
+        self.yields.record(tracked.upstream.failure_domain, report, now)
 
     def record_unresponsive(self, tracked: TrackedUpstream) -> None:
         """Records that an upstream did not respond; pauses probing it.
--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -55,6 +55,9 @@
 # Share of its latency target that another failure domain must save a request to be
 # chosen, because traffic between failure domains is paid for.
 CROSSING_SAVING_SHARE = 0.25
+# Upstreams without a recent report are used only in failure domains in which at least
+# this share was suitable lately.
+MIN_UNPROBED_YIELD = 0.4
 # Suspect and ejected upstreams are used as well if the others make up less than this
 # share.
 PANIC_THRESHOLD = 0.5
@@ -81,6 +84,8 @@
     Those that can still meet their latency target are assigned first. Upstreams are
     probed right before one is selected, because a load report is stale after a few
     milliseconds. Every upstream that ``acquire`` returns must be passed to ``release``.
+    ``refused`` counts the refused requests, ``unprobed`` those that were assigned
+    without a recent report.
     """
 
     def __init__(
@@ -99,6 +104,7 @@
         self.service_times = ServiceTimeEstimator()
         self.probes = ProbeScheduler(prober, failure_domain, generator, clock)
         self.refused = 0
+        self.unprobed = 0
         self._instances = 1
         self._failure_domain = failure_domain
         self._generator = generator
@@ -208,6 +214,8 @@
                     tracked.record_own_response()
                 if report is not None:
                     tracked.apply_report(report, now - REPORT_TRANSIT_S, now)
+                    domain = tracked.upstream.failure_domain
+                    self.probes.yields.record(domain, report, now)
             case NotRun(report):
                 self._handle_rejection(tracked, report, now)
             case Failed(reason):
@@ -325,6 +333,51 @@
                 fresh_are_unsuitable=self._has_waited_for_crossing(waiting),
             )
             self._dispatch_pending()
+        if self._pending and self.probes.is_exhausted:
+            self._assign_unprobed()
+
+    def _assign_unprobed(self) -> None:
+        """Assigns upstreams without a recent report to requests that would wait.
+
+        Once the probe budget is used up, nothing is learned about upstreams of other
+        failure domains, and the requests would be refused although these may be idle.
+        The share of suitable upstreams in the domain stands in for a report.
+        """
+        now = self._clock()
+        unprobed = [
+            tracked
+            for tracked in self._get_eligible()
+            if now - tracked.reported_at > RECENT_REPORT_AGE_S
+            and not tracked.in_flight
+            and not tracked.probe_backoff_steps
+            and now >= tracked.cold_start_until
+            and self.probes.yields.get(tracked.upstream.failure_domain, now)
+            >= MIN_UNPROBED_YIELD
+        ]
+        self._generator.shuffle(unprobed)
+        remaining: list[PendingAssignment] = []
+        for pending in self._pending:
+            if pending.assigned.done():
+                continue
+            context = pending.context
+            tracked = None
+            if not self._will_miss_target(context, now):
+                tracked = self._pop_candidate(unprobed, context)
+            if tracked is None:
+                remaining.append(pending)
+            else:
+                self.unprobed += 1
+                self._assign_upstream(pending, tracked, now)
+        self._pending = remaining
+
+    def _pop_candidate(
+        self, upstreams: list[TrackedUpstream], context: BalancingContext
+    ) -> TrackedUpstream | None:
+        for tracked in upstreams:
+            if tracked.upstream.id not in context.excluded:
+                upstreams.remove(tracked)
+                return tracked
+        return None
 
     async def _probe_and_assign_local(self) -> None:
         local = [tracked for tracked in self._get_eligible() if self._is_local(tracked)]
@@ -334,7 +387,7 @@
         size = compute_subset_size(len(local), self._instances / domains)
         await self.probes.run_round(select_subset(local, size), self._get_waiting())
         self._assign_local()
-        if self._pending:
+        if self._pending and self.probes.prefers_local(self._get_eligible()):
             others = select_subset(local, SECOND_ROUND_FACTOR * size)
             await self.probes.run_round(
                 others, self._get_waiting(), fresh_are_unsuitable=True
--- a/src/verbenacross/node/balancer_registry.py
+++ b/src/verbenacross/node/balancer_registry.py
@@ -86,6 +86,10 @@
         """Returns how many probes were sent since the start of the process."""
         return sum(balancer.probes.sent for balancer in self._balancers.values())
 
+    def count_unprobed(self) -> int:
+        """Returns how many requests were assigned without a recent report."""
+        return sum(balancer.unprobed for balancer in self._balancers.values())
+
     def count_leaving(self) -> int:
         """Returns how many upstreams state that they leave."""
         return sum(
@@ -109,7 +113,9 @@
             name: {
                 "waiting": balancer.waiting,
                 "refused": balancer.refused,
+                "unprobed": balancer.unprobed,
                 "probes": balancer.probes.sent,
+                "suitable_shares": balancer.probes.yields.describe(self._loop.time()),
                 "upstreams": {
                     identifier: {
                         "in_flight": tracked.in_flight,
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -236,6 +236,7 @@
             ("instances", self.balancers.instance_count),
             ("waiting", self.balancers.count_waiting()),
             ("probes", self.balancers.count_probes()),
+            ("unprobed", self.balancers.count_unprobed()),
             ("upstreams_leaving", self.balancers.count_leaving()),
             ("upstreams_busy", self.balancers.count_busy()),
             ("buffered_bytes", self.buffers.held_bytes),
