Report the number of instances only when subscriptions have settled

Change: after an outage numbers are reported once records have been fresh for 3 s, and a lease that expired is replaced with the last number, also if it is 0. The new tests fail without the change (312 instead of 52, and instead of 0).

--- a/src/verbenacross/node/registration.py
+++ b/src/verbenacross/node/registration.py
@@ -42,6 +42,9 @@
 # its record expires.
 INCREASE_DELAY_S = 1.0
 DECREASE_DELAY_S = 5.0
+# After an outage of the store, the subscribers of an instance have moved back to the
+# readers within this time, in seconds.
+SETTLING_TIME_S = 3.0
 # Smaller changes of the number of instances are not reported, as a share of it.
 MIN_REPORTED_CHANGE = 0.1
 
@@ -79,6 +82,10 @@
         self._source_since: float | None = None
         # Since when the number of instances differs from the reported one.
         self._deviates_since: float | None = None
+        # Whether the records have ever been fresh, and until when the number of
+        # instances is not reported after they were not.
+        self._has_been_fresh = False
+        self._settled_at = 0.0
 
     async def run(self) -> None:
         """Registers the instance when needed and renews the lease until cancelled."""
@@ -113,6 +120,7 @@
         if now >= self._renew_at:
             self._schedule_renewal(now)
             await self._renew()
+            now = asyncio.get_running_loop().time()
         count = self._synchronizer.count_instances()
         if self._has_changed(count, now):
             await self._report(count, self._revision, self._lease)
@@ -143,7 +151,11 @@
         While the store is away, instances subscribe to several members in turn and are
         counted by each of them.
         """
-        if not self._synchronizer.is_fresh():
+        is_fresh = self._synchronizer.is_fresh()
+        self._has_been_fresh = self._has_been_fresh or is_fresh
+        if not is_fresh and self._has_been_fresh:
+            self._settled_at = now + SETTLING_TIME_S
+        if now < self._settled_at:
             self._deviates_since = None
             return False
         reported = self._member.instances
@@ -159,12 +171,14 @@
         lease = await self._store.grant_lease(LEASE_TTL_MS)
         # The subscribers come back after a restart, or after an outage of the store in
         # which the lease expired; the current number is not settled yet.
-        known = [self._member.instances] + [
+        known = [
             member.instances
             for member in self._get_members()
             if member.instance == self._member.instance
         ]
-        count = max(known) or self._synchronizer.count_instances()
+        if self._revision > 0:
+            known.append(self._member.instances)
+        count = max(known) if known else self._synchronizer.count_instances()
         await self._report(count, self._log.get_revision(self._key), lease)
         self._lease = lease
         self._schedule_renewal(now)
--- a/tests/node/test_registration.py
+++ b/tests/node/test_registration.py
@@ -20,9 +20,10 @@
 from verbenacross.infrastructure.key_value_store import StoredValue
 from verbenacross.node.registration import (
     DECREASE_DELAY_S,
-    LEASE_TTL_MS,
     INCREASE_DELAY_S,
+    LEASE_TTL_MS,
     REGISTRATION_SPREAD_S,
+    SETTLING_TIME_S,
     SOURCE_DELAY_S,
     Registration,
 )
@@ -238,7 +239,8 @@
     run_in_virtual_time(play())
 
 
-def test_subscriptions_during_an_outage_are_not_counted():
+@pytest.mark.parametrize("count", [DOMAIN_SIZE, 0], ids=["reader", "replacement"])
+def test_subscriptions_during_an_outage_are_not_counted(count):
     """Instances without a fresh source are subscribed to several members at once.
 
     The sum of the reported numbers divides the budgets of probes and retries; it rose
@@ -248,17 +250,22 @@
     async def play():
         fleet = FleetModel()
         fleet.start("a-0", "a", FAST_LINK_MBPS)
-        fleet.feeds["a-0"].count = DOMAIN_SIZE
+        fleet.feeds["a-0"].count = count
         await fleet.run(REGISTRATION_SPREAD_S + 2 * INCREASE_DELAY_S)
-        assert [member.instances for member in await fleet.read()] == [DOMAIN_SIZE]
+        assert [member.instances for member in await fleet.read()] == [count]
 
         fleet.feeds["a-0"].has_fresh_records = False
         fleet.feeds["a-0"].count = 6 * DOMAIN_SIZE
         await fleet.run(4 * INCREASE_DELAY_S)
-        assert [member.instances for member in await fleet.read()] == [DOMAIN_SIZE]
+        assert [member.instances for member in await fleet.read()] == [count]
         fleet.clock.now += LEASE_TTL_MS / 1_000
         await fleet.run(REGISTRATION_SPREAD_S + 2 * INCREASE_DELAY_S)
+        assert [member.instances for member in await fleet.read()] == [count]
+        fleet.feeds["a-0"].has_fresh_records = True
+        await fleet.run(SETTLING_TIME_S - INCREASE_DELAY_S)
+        fleet.feeds["a-0"].count = count
+        await fleet.run(2 * DECREASE_DELAY_S)
 
-        assert [member.instances for member in await fleet.read()] == [DOMAIN_SIZE]
+        assert [member.instances for member in await fleet.read()] == [count]
 
     run_in_virtual_time(play())
