Bind a loop variable in a test of endless responses

Cause: ruff reported B023 for the change before. Change: the check takes the number as a default argument.

--- a/tests/node/test_endless_responses.py
+++ b/tests/node/test_endless_responses.py
@@ -135,7 +135,9 @@
         # does not count against the upstream.
         assert number < MAX_CALLS
         await call_until_end(node, "/once/x", "POST", request_id=f"r{number}")
-        await wait_until(lambda: len(node.find_lines("response truncated")) > number)
+        await wait_until(
+            lambda number=number: len(node.find_lines("response truncated")) > number
+        )
         number += 1
 
     # The log line may arrive after the response.
