Keep requests and probes from evacuated failure domains

Cause: an operator could not take a failure domain out of service while its upstreams stayed registered. Change: a key of the store names an evacuated failure domain. Its upstreams are no candidates for requests, retries and probes, also not as a fallback; waiting requests are woken, and a request whose connection is still being opened is withdrawn before its first byte and looks for another upstream. After the evacuation the upstreams count as cold for 1 s. The probe budget is that of the upstreams that are not evacuated.

--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -101,6 +101,7 @@
         self.refused = 0
         self._instances = 1
         self._failure_domain = failure_domain
+        self._evacuated_domains: frozenset[str] = frozenset()
         self._generator = generator
         self._clock = clock
         self._pending: list[PendingAssignment] = []
@@ -129,6 +130,9 @@
         else:
             tracked.update_upstream(upstream, now)
             self.upstreams[upstream.id] = tracked
+        self.upstreams[upstream.id].set_evacuated(
+            upstream.failure_domain in self._evacuated_domains, now
+        )
 
     def remove_upstream(self, identifier: str) -> None:
         """Removes an upstream."""
@@ -142,7 +146,25 @@
     def set_probe_rate(self, per_upstream: float, instances: int) -> None:
         """Sets the probes per second to each upstream from all instances."""
         self._instances = max(1, instances)
-        self.probes.set_budget(per_upstream, len(self.upstreams), self._instances)
+        # Evacuated upstreams get no probes, and the others not their part of them.
+        probed = sum(not tracked.is_evacuated for tracked in self.upstreams.values())
+        self.probes.set_budget(per_upstream, probed, self._instances)
+
+    def set_evacuated_domains(self, failure_domains: Iterable[str]) -> None:
+        """Sets the failure domains whose upstreams get neither requests nor probes."""
+        self._evacuated_domains = frozenset(failure_domains)
+        now = self._clock()
+        for tracked in self.upstreams.values():
+            tracked.set_evacuated(self.is_evacuated(tracked), now)
+        # Waiting requests look for another upstream, or are refused.
+        self._wake.set()
+
+    def is_evacuated(self, tracked: TrackedUpstream) -> bool:
+        """Returns whether the failure domain of an upstream is evacuated.
+
+        Holds also for an upstream whose entry was removed after its assignment.
+        """
+        return tracked.upstream.failure_domain in self._evacuated_domains
 
     async def acquire(self, context: BalancingContext) -> TrackedUpstream:
         """Waits for an upstream to send an attempt to; raises ``BalancingError``."""
@@ -178,7 +200,9 @@
 
     def accepts(self, tracked: TrackedUpstream) -> bool:
         """Returns whether an upstream that ``acquire`` returned may still be used."""
-        return tracked.accepts_requests(self._clock())
+        return tracked.accepts_requests(self._clock()) and not self.is_evacuated(
+            tracked
+        )
 
     def release(
         self, tracked: TrackedUpstream, context: BalancingContext, outcome: Outcome
--- a/src/verbenacross/balancing/tracked_upstream.py
+++ b/src/verbenacross/balancing/tracked_upstream.py
@@ -21,6 +21,10 @@
 MAX_UNREPORTED_AGE_S = 0.25
 # An upstream that was busy counts as slow for this time afterwards, in seconds.
 RETURN_RAMP_S = 1.0
+# An upstream counts as cold for this time after the evacuation of its failure domain,
+# in seconds. Otherwise all requests that waited would be sent there at one moment, when
+# its connections are closed and its caches may be empty.
+EVACUATION_RAMP_S = 1.0
 # Pause after another upstream responded at the address, doubled each time up to the
 # maximum, in seconds. The entry of an upstream that is gone expires within the first.
 BASE_MISDIRECTION_PAUSE_S = 5.0
@@ -41,8 +45,10 @@
         "consecutive_failures",
         "ejected_until",
         "ejections",
+        "evacuation_ramp_until",
         "failure_rate",
         "in_flight",
+        "is_evacuated",
         "is_leaving",
         "is_suspect",
         "is_unhealthy",
@@ -92,6 +98,9 @@
         self.is_suspect = False
         # The upstream states in its responses that it leaves.
         self.is_leaving = False
+        # The failure domain is evacuated, and until when the return after that takes.
+        self.is_evacuated = False
+        self.evacuation_ramp_until = -math.inf
         # Until then the upstream wants no requests from this instance.
         self.busy_until = -math.inf
 
@@ -100,7 +109,9 @@
         if upstream.address != self.upstream.address:
             self.record_own_response()
         self.upstream = upstream
-        self.cold_start_until = now + upstream.cold_start_s
+        self.cold_start_until = max(
+            now + upstream.cold_start_s, self.evacuation_ramp_until
+        )
         self.is_suspect = False
 
     def apply_notice(self, notice: UpstreamNotice, now: float) -> None:
@@ -122,6 +133,15 @@
             self.cold_start_until, self.busy_until + RETURN_RAMP_S
         )
 
+    def set_evacuated(self, is_evacuated: bool, now: float) -> None:
+        """Sets whether the failure domain is evacuated; traffic returns in a ramp."""
+        if self.is_evacuated and not is_evacuated:
+            self.evacuation_ramp_until = now + EVACUATION_RAMP_S
+            self.cold_start_until = max(
+                self.cold_start_until, self.evacuation_ramp_until
+            )
+        self.is_evacuated = is_evacuated
+
     def record_misdirection(self, reason: str, now: float) -> None:
         """Records that another upstream responded at the address."""
         pause_s = min(
@@ -145,7 +165,8 @@
     def accepts_requests(self, now: float) -> bool:
         """Returns whether the upstream may get a new request or a probe."""
         is_paused = now < self.busy_until or now < self.misdirected_until
-        return not (self.upstream.draining or self.is_leaving or is_paused)
+        is_ending = self.upstream.draining or self.is_leaving
+        return not (is_ending or is_paused or self.is_evacuated)
 
     def _describe(self) -> dict[str, Any]:
         return {"upstream": self.upstream.id, "service": self.upstream.service}
--- a/src/verbenacross/node/attempt_result.py
+++ b/src/verbenacross/node/attempt_result.py
@@ -52,13 +52,15 @@
 
     ``request_sent`` states whether the upstream may have run the request.
     ``stale_connection`` states that a reused connection turned out to be unusable,
-    which is no evidence of a failure of the upstream.
+    which is no evidence of a failure of the upstream. ``is_withdrawn`` states that the
+    failure domain was evacuated while the connection was opened.
     """
 
     reason: str
     request_sent: bool
     stale_connection: bool = False
     timed_out: bool = False
+    is_withdrawn: bool = False
 
 
 AttemptResult = BufferedResponse | StreamedResponse | Rejected | NoUsableResponse
--- a/src/verbenacross/node/balancer_registry.py
+++ b/src/verbenacross/node/balancer_registry.py
@@ -37,6 +37,7 @@
         self._services_by_upstream: dict[str, str] = {}
         discovery.upstream_changes.subscribe(self._update_upstream)
         discovery.instance_count_changes.subscribe(self._update_instance_count)
+        discovery.evacuation_changes.subscribe(self._update_evacuations)
 
     def get_balancer(self, service: str) -> ServiceBalancer:
         """Returns the balancer of a service."""
@@ -50,6 +51,7 @@
                 self._generator,
                 self._loop.time,
             )
+            balancer.set_evacuated_domains(self._discovery.evacuated_domains)
             self._update_probe_rate(balancer)
         return balancer
 
@@ -103,6 +105,14 @@
             for tracked in balancer.upstreams.values()
         )
 
+    def count_evacuated(self) -> int:
+        """Returns how many upstreams are in evacuated failure domains."""
+        return sum(
+            tracked.is_evacuated
+            for balancer in self._balancers.values()
+            for tracked in balancer.upstreams.values()
+        )
+
     def describe(self) -> dict[str, Any]:
         """Returns the content of the state dump."""
         return {
@@ -117,6 +127,7 @@
                         "failure_rate": round(tracked.failure_rate, 2),
                         "draining": tracked.upstream.draining,
                         "leaving": tracked.is_leaving,
+                        "evacuated": tracked.is_evacuated,
                         "busy_for_s": round(
                             max(0.0, tracked.busy_until - self._loop.time()), 3
                         ),
@@ -146,6 +157,11 @@
         balancer.upstreams[identifier].is_suspect = entry.is_suspect
         self._update_probe_rate(balancer)
 
+    def _update_evacuations(self, failure_domains: set[str]) -> None:
+        for balancer in self._balancers.values():
+            balancer.set_evacuated_domains(failure_domains)
+            self._update_probe_rate(balancer)
+
     def _update_instance_count(self, count: int) -> None:
         if count == self.instance_count:
             return
--- a/src/verbenacross/node/changes.py
+++ b/src/verbenacross/node/changes.py
@@ -44,4 +44,18 @@
     reason: str
 
 
-Change = ConfigurationChange | UpstreamChange | MemberChange | InvalidConfiguration
+class EvacuationChange(NamedTuple):
+    """The start or the end of the evacuation of a failure domain."""
+
+    failure_domain: str
+    revision: int
+    is_evacuated: bool
+
+
+Change = (
+    ConfigurationChange
+    | UpstreamChange
+    | MemberChange
+    | InvalidConfiguration
+    | EvacuationChange
+)
--- a/src/verbenacross/node/discovery_state.py
+++ b/src/verbenacross/node/discovery_state.py
@@ -13,6 +13,7 @@
 from ..feed.members import Member
 from .changes import (
     ConfigurationChange,
+    EvacuationChange,
     InvalidConfiguration,
     MemberChange,
     UpstreamChange,
@@ -41,24 +42,34 @@
     is_suspect: bool = False
 
 
+class EvacuationEntry(NamedTuple):
+    """The latest state of a failure domain that is or was evacuated."""
+
+    is_evacuated: bool
+    revision: int
+
+
 class DiscoveryState:
-    """Route table, upstreams and members, by the revisions of the store.
+    """Route table, upstreams, members and evacuations, by the store's revisions.
 
     ``table_changes`` emits each route table that comes into force, ``upstream_changes``
     the id of each upstream whose entry changed, ``instance_count_changes`` the number
-    of instances. ``loaded`` is set once requests can be served. Configurations and
-    upstream changes may be applied more than once and in any order: older ones are
-    ignored.
+    of instances, ``evacuation_changes`` the evacuated failure domains. ``loaded`` is
+    set once requests can be served. Configurations, upstream changes and evacuations
+    may be applied more than once and in any order: older ones are ignored.
     """
 
     def __init__(self) -> None:
         self.table: RouteTable | None = None
         self.entries: dict[str, UpstreamEntry] = {}
         self.members: dict[str, Member] = {}
+        self.evacuated_domains: set[str] = set()
         self.loaded = asyncio.Event()
         self.table_changes: Subject[RouteTable] = Subject()
         self.upstream_changes: Subject[str] = Subject()
         self.instance_count_changes: Subject[int] = Subject()
+        self.evacuation_changes: Subject[set[str]] = Subject()
+        self._evacuations: dict[str, EvacuationEntry] = {}
         self._invalid_revision = 0
         self._suspects_expire_at = 0.0
 
@@ -75,6 +86,8 @@
                 self._apply_upstream(change, source)
             case MemberChange():
                 self._apply_member(change)
+            case EvacuationChange():
+                self._apply_evacuation(change, source)
             case InvalidConfiguration(revision, reason):
                 if revision > self._invalid_revision:
                     self._invalid_revision = revision
@@ -121,6 +134,7 @@
                 for identifier, entry in self.entries.items()
             },
             "members": sorted(self.members),
+            "evacuated_domains": sorted(self.evacuated_domains),
         }
 
     def _apply_configuration(self, change: ConfigurationChange, source: str) -> None:
@@ -171,6 +185,40 @@
             )
         self.upstream_changes.on_next(change.id)
 
+    def _apply_evacuation(self, change: EvacuationChange, source: str) -> None:
+        domain = change.failure_domain
+        previous = self._evacuations.get(domain)
+        if previous is not None and change.revision <= previous.revision:
+            return
+        self._evacuations[domain] = EvacuationEntry(
+            change.is_evacuated, change.revision
+        )
+        if change.is_evacuated is (domain in self.evacuated_domains):
+            return
+        if change.is_evacuated:
+            self.evacuated_domains.add(domain)
+        else:
+            self.evacuated_domains.discard(domain)
+        logger.info(
+            "evacuation of failure domain started"
+            if change.is_evacuated
+            else "evacuation of failure domain ended",
+            extra={
+                "failure_domain": domain,
+                "revision": change.revision,
+                "upstreams": self._count_upstreams(domain),
+                "source": source,
+            },
+        )
+        self.evacuation_changes.on_next(self.evacuated_domains)
+
+    def _count_upstreams(self, failure_domain: str) -> int:
+        return sum(
+            entry.upstream is not None
+            and entry.upstream.failure_domain == failure_domain
+            for entry in self.entries.values()
+        )
+
     def _apply_removal(
         self, change: UpstreamChange, previous: UpstreamEntry | None, source: str
     ) -> None:
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -238,6 +238,8 @@
             ("probes", self.balancers.count_probes()),
             ("upstreams_leaving", self.balancers.count_leaving()),
             ("upstreams_busy", self.balancers.count_busy()),
+            ("evacuated_domains", len(self.discovery.evacuated_domains)),
+            ("upstreams_evacuated", self.balancers.count_evacuated()),
             ("buffered_bytes", self.buffers.held_bytes),
             ("streamed_responses", self.buffers.stream_count),
         ):
--- a/src/verbenacross/node/proxied_request.py
+++ b/src/verbenacross/node/proxied_request.py
@@ -125,14 +125,20 @@
                 retry_after_s = error.retry_after_s
                 break
             if not self._balancer.accepts(tracked):
-                # It stated that it leaves or is busy after it had been chosen.
+                # It stated that it leaves or is busy after it had been chosen, or its
+                # failure domain was evacuated.
                 self._balancer.release(tracked, self._context, Abandoned())
                 continue
             attempt = UpstreamAttempt(
                 self._client, self._balancer, tracked, self._context, self._held
             )
+            has_spent_retry = self._has_spent_retry
             result = await self._run_attempt(attempt)
             match result:
+                case NoUsableResponse(is_withdrawn=True):
+                    # The retry that was spent on this attempt is left for the next.
+                    self._has_spent_retry = has_spent_retry
+                    continue
                 case BufferedResponse() if not self._should_retry(result):
                     return self._build_response(result)
                 case BufferedResponse():
--- a/src/verbenacross/node/upstream_attempt.py
+++ b/src/verbenacross/node/upstream_attempt.py
@@ -23,7 +23,7 @@
     parse_notice,
 )
 from ..transport.deadline import timeout_at_or_after_pause
-from ..transport.exceptions import UnusableAnswerError
+from ..transport.exceptions import AssignmentWithdrawnError, UnusableAnswerError
 from ..transport.headers import copy_end_to_end
 from ..transport.response_body import read_parts
 from ..transport.response_ending import ResponseEnding
@@ -83,6 +83,7 @@
     ) -> None:
         self.tracked = tracked
         self._middleware = SingleAttemptMiddleware()
+        self._middleware.is_withdrawn = lambda: balancer.is_evacuated(tracked)
         self._client = client
         self._balancer = balancer
         self._context = context
@@ -187,6 +188,8 @@
     def _process_error(self, error: Exception) -> NoUsableResponse:
         request_sent = self._middleware.may_have_sent()
         reason = repr(error)
+        if isinstance(error, AssignmentWithdrawnError):
+            return NoUsableResponse(reason, request_sent, is_withdrawn=True)
         if not request_sent and self._middleware.is_connection_reused():
             return NoUsableResponse(reason, request_sent, stale_connection=True)
         if self._body is not None and self._body.failed:
--- a/src/verbenacross/platform/records.py
+++ b/src/verbenacross/platform/records.py
@@ -7,6 +7,7 @@
 from ..documents.document import InvalidDocumentError
 from ..node.changes import (
     ConfigurationChange,
+    EvacuationChange,
     InvalidConfiguration,
     MemberChange,
     UpstreamChange,
@@ -20,6 +21,8 @@
 
 CONFIGURATION_KEY = "op/config"
 SERVER_PREFIX = "servers/"
+# The rest of the key names the evacuated failure domain. The value has no meaning.
+EVACUATION_PREFIX = "op/evacuate/"
 # Keys of this project; the platform accepts any prefix that it does not reserve.
 NODE_PREFIX = "verbenacross/nodes/"
 WATCHED_PREFIX = ""
@@ -32,6 +35,9 @@
         return decode_configuration_change(data, revision)
     if key.startswith(SERVER_PREFIX):
         return decode_upstream_change(key[len(SERVER_PREFIX) :], data, revision)
+    if key.startswith(EVACUATION_PREFIX):
+        failure_domain = key[len(EVACUATION_PREFIX) :]
+        return EvacuationChange(failure_domain, revision, data is not None)
     if key.startswith(NODE_PREFIX):
         return MemberChange(key[len(NODE_PREFIX) :], revision, data)
     return None
--- a/src/verbenacross/transport/attempt_request.py
+++ b/src/verbenacross/transport/attempt_request.py
@@ -7,10 +7,12 @@
 
 import aiohttp
 
+from .exceptions import AssignmentWithdrawnError
 from .read_size import limit_read_size
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Callable
 
     from aiohttp.client_proto import ResponseHandler
     from aiohttp.connector import Connection
@@ -30,16 +32,23 @@
 
     ``connection_reused`` tells whether its connection carried an earlier request.
     ``used_protocol`` is the protocol of its connection. ``target``, if set, is sent in
-    place of that of the URL.
+    place of that of the URL. ``is_withdrawn``, if set, is asked before the first byte
+    is sent.
     """
 
     may_have_sent = False
     connection_reused = False
     used_protocol: ResponseHandler | None = None
     target: str | None = None
+    is_withdrawn: Callable[[], bool] | None = None
 
     async def send(self, conn: Connection) -> aiohttp.ClientResponse:
-        """Sends the request on an open connection."""
+        """Sends the request on an open connection.
+
+        Raises ``AssignmentWithdrawnError`` if it must not be sent there any more.
+        """
+        if self.is_withdrawn is not None and self.is_withdrawn():
+            raise AssignmentWithdrawnError("withdrawn while connecting")
         protocol = self.used_protocol = conn.protocol
         if protocol is not None and protocol.should_close:
             # The connection received bytes that belong to no request while idle.
--- a/src/verbenacross/transport/exceptions.py
+++ b/src/verbenacross/transport/exceptions.py
@@ -15,6 +15,10 @@
     """A connection to an upstream broke after it was assigned to a request."""
 
 
+class AssignmentWithdrawnError(TransportError, aiohttp.ClientError):
+    """A request may no longer be sent to the upstream that it was assigned to."""
+
+
 class UnusableAnswerError(TransportError):
     """An upstream's response must not reach the caller; its connection is closed."""
 
--- a/src/verbenacross/transport/single_attempt_middleware.py
+++ b/src/verbenacross/transport/single_attempt_middleware.py
@@ -10,6 +10,8 @@
 from .exceptions import ConnectionBrokenError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from aiohttp import ClientHandlerType
 
 
@@ -19,14 +21,16 @@
     aiohttp retries a request by itself when its connection breaks, if its method is
     idempotent in HTTP. It does not do so for errors of another type. Afterwards,
     ``may_have_sent`` tells whether a byte of the request may have been sent.
-    ``target``, if set, is sent in place of that of the URL.
+    ``target``, if set, is sent in place of that of the URL. ``is_withdrawn``, if set,
+    is asked before the first byte is sent.
     """
 
-    __slots__ = ("_request", "target")
+    __slots__ = ("_request", "is_withdrawn", "target")
 
     def __init__(self) -> None:
         self._request: aiohttp.ClientRequest | None = None
         self.target: str | None = None
+        self.is_withdrawn: Callable[[], bool] | None = None
 
     async def __call__(
         self, request: aiohttp.ClientRequest, handler: ClientHandlerType
@@ -38,6 +42,7 @@
         self._request = request
         if isinstance(request, AttemptRequest):
             request.target = self.target
+            request.is_withdrawn = self.is_withdrawn
         try:
             return await handler(request)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -12,7 +12,7 @@
     r"X-Upstream-Signature|X-Not-Executed|X-Target-Instance|X-Deadline-Ms"
     r"|X-Server-Load|X-Instance-Id|kv-(key|range|watch|txn|lease|keep)|op/config"
     r"|servers/|weighted_services|warmup_left|max_concurrency|health_check_path"
-    r"|allow_stale|precondition|VERBENACROSS_BOOT"
+    r"|allow_stale|precondition|VERBENACROSS_BOOT|op/evacuate|X-Warmup-Ms|warmup_per_s"
 )
 OTHER_FILES = [
     path
