Keep the requests to cold upstreams within the cold rate

Cause: an upstream that had just started or become cold again received as many requests as all instances chose to send; the slowdown factor does not limit them. Change: where a service has a cold rate, each instance has a token bucket for each cold upstream with its part of the rate. An upstream without a token is left out of the choice. Health responses may lengthen or end the cold time, and a request follows a probe of the last 3 s and since the last broken connection.

--- a/src/verbenacross/balancing/balancing_context.py
+++ b/src/verbenacross/balancing/balancing_context.py
@@ -11,7 +11,8 @@
 
     After ``target_at`` the response loses part of its value, after ``deadline`` all of
     it. ``excluded`` contains the ids of upstreams that earlier attempts were sent to,
-    ``request_kind`` groups requests with similar service times.
+    ``request_kind`` groups requests with similar service times. ``cold_token`` is the
+    id of the cold upstream whose token the latest assignment took, empty if none.
     """
 
     request_id: str
@@ -21,3 +22,4 @@
     target_at: float
     deadline: float
     excluded: set[str] = field(default_factory=set)
+    cold_token: str = ""
--- a/src/verbenacross/balancing/outcome.py
+++ b/src/verbenacross/balancing/outcome.py
@@ -24,9 +24,13 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """The upstream rejected the request and stated that it did not run it."""
+    """The upstream rejected the request and stated that it did not run it.
+
+    ``is_misdirected`` means that another upstream did so.
+    """
 
     report: LoadReport | None
+    is_misdirected: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +42,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Abandoned:
-    """The attempt ended without evidence about the health of the upstream."""
+    """The attempt ended without evidence about the health of the upstream.
+
+    ``is_unsent`` states that no byte of the request was sent.
+    """
+
+    is_unsent: bool = False
 
 
 Outcome = Succeeded | Failed | NotRun | Unreachable | Abandoned
--- a/src/verbenacross/balancing/probe_scheduler.py
+++ b/src/verbenacross/balancing/probe_scheduler.py
@@ -8,6 +8,7 @@
 
 import logbook
 
+from .cold_rate_limit import MAX_PROBE_AGE_S
 from .completion_estimate import estimate_completion
 from .load_report import LoadReport
 from .token_bucket import TokenBucket
@@ -17,6 +18,7 @@
     from collections.abc import Callable, Sequence
 
     from .balancing_context import BalancingContext
+    from .cold_rate_limit import ColdRateLimit
     from .prober import Prober
     from .tracked_upstream import TrackedUpstream
 
@@ -24,6 +26,9 @@
 ROUND_TIMEOUT_S = 0.010
 # An upstream whose report is not older than this is not probed, in seconds.
 FRESH_REPORT_AGE_S = 0.020
+# Where a cold rate is set, an upstream is probed again after this time even if it has a
+# fresh report, in seconds: it may have become cold.
+COLD_CHECK_AGE_S = 0.25
 # Reports up to this age, in seconds, are used to rank upstreams for probing.
 RANKABLE_REPORT_AGE_S = 0.350
 # Upstreams at or above this slowness are probed only after all others.
@@ -53,8 +58,10 @@
         failure_domain: str,
         generator: random.Random,
         clock: Callable[[], float],
+        cold_limit: ColdRateLimit,
     ) -> None:
         self.sent = 0
+        self._cold_limit = cold_limit
         self._prober = prober
         self._failure_domain = failure_domain
         self._generator = generator
@@ -67,7 +74,11 @@
         ``per_upstream`` is the number of probes per second that all ``instances``
         together may send to each of the ``upstreams``.
         """
-        self._budget.set_rate(per_upstream * PROBE_BUDGET_SHARE * upstreams / instances)
+        rate = per_upstream * PROBE_BUDGET_SHARE * upstreams / instances
+        self._budget.set_rate(rate)
+        # With a small budget, requests would wait for probes that cannot be sent.
+        round_s = PROBES_PER_ROUND / rate if rate > 0 else math.inf
+        self._cold_limit.max_probe_age_s = max(MAX_PROBE_AGE_S, round_s)
 
     async def run_round(
         self,
@@ -116,17 +127,18 @@
         now: float,
         fresh_are_unsuitable: bool,
     ) -> list[TrackedUpstream]:
-        """Selects the upstreams to probe.
+        """Selects the upstreams to probe, the most important ones first.
 
-        Up to half of them are the most promising by recent reports. The others are
-        picked at random, those known to be slow last.
+        A cold upstream that may get a request comes before all others, as its token is
+        lost soon. Up to half of the rest are the most promising by recent reports. The
+        others are picked at random, those known to be slow last.
         """
         candidates = [
             tracked
             for tracked in eligible
             if tracked.probe is None
             and now >= tracked.probe_backoff_until
-            and now - tracked.reported_at > FRESH_REPORT_AGE_S
+            and self._is_outdated(tracked, now)
             and any(tracked.upstream.id not in context.excluded for context in waiting)
         ]
         # A random order keeps upstreams from being left out of every round while the
@@ -134,10 +146,25 @@
         self._generator.shuffle(candidates)
         count = PROBES_PER_ROUND + len(waiting) - 1
         if not fresh_are_unsuitable:
-            count -= sum(
-                now - tracked.reported_at <= FRESH_REPORT_AGE_S for tracked in eligible
-            )
+            count -= sum(not self._is_outdated(tracked, now) for tracked in eligible)
         count = max(0, min(MAX_PROBES_PER_ROUND, count))
+        cold = [
+            tracked
+            for tracked in candidates
+            if self._cold_limit.is_cold(tracked, now)
+            and self._cold_limit.has_token(tracked, now)
+        ][:1]
+        candidates = [tracked for tracked in candidates if tracked not in cold]
+        return (cold + self._rank_targets(candidates, waiting, count, now))[:count]
+
+    def _rank_targets(
+        self,
+        candidates: list[TrackedUpstream],
+        waiting: Sequence[BalancingContext],
+        count: int,
+        now: float,
+    ) -> list[TrackedUpstream]:
+        """Returns the upstreams to probe in a round of ``count`` probes."""
         if len(candidates) <= count:
             return candidates
         ranked = [
@@ -165,6 +192,16 @@
         rest = [tracked for tracked in candidates if tracked.upstream.id in slow]
         return (promising + others + rest)[:count]
 
+    def _is_outdated(self, tracked: TrackedUpstream, now: float) -> bool:
+        """Returns whether an upstream may be probed again.
+
+        The load reports of responses to requests take the place of probes, but only
+        responses to probes state whether an upstream is cold.
+        """
+        if self._cold_limit.is_enabled and now - tracked.probed_at > COLD_CHECK_AGE_S:
+            return True
+        return now - tracked.reported_at > FRESH_REPORT_AGE_S
+
     def _estimate_relative_completion(
         self, tracked: TrackedUpstream, now: float
     ) -> float:
@@ -188,6 +225,7 @@
             result = await self._prober.probe(tracked.upstream)
         except LookupError as error:
             tracked.record_misdirection(str(error), self._clock())
+            tracked.probed_at = -math.inf
             return
         finally:
             tracked.probe = None
@@ -197,6 +235,15 @@
             return
         tracked.record_own_response()
         tracked.apply_notice(result.notice, now)
+        tracked.probed_at = now
+        if tracked.apply_cold_time(result.cold_s, now) and self._cold_limit.is_enabled:
+            is_cold = now < tracked.cold_until
+            logger.info(
+                "upstream states that it is cold"
+                if is_cold
+                else "upstream states that it is no longer cold",
+                extra={"upstream": tracked.upstream.id, "for_s": result.cold_s},
+            )
         tracked.probe_backoff_steps = 0
         if tracked.is_unhealthy is result.is_healthy:
             tracked.is_unhealthy = not result.is_healthy
@@ -222,6 +269,7 @@
         tracked.probe_backoff_until = self._clock() + pause_s
         tracked.report = None
         tracked.reported_at = -math.inf
+        tracked.probed_at = -math.inf
         if tracked.probe_backoff_steps == 1:
             extra = {"upstream": tracked.upstream.id, "pause_s": pause_s}
             logger.info("upstream does not answer", extra=extra)
--- a/src/verbenacross/balancing/prober.py
+++ b/src/verbenacross/balancing/prober.py
@@ -12,11 +12,15 @@
 
 
 class ProbeResult(NamedTuple):
-    """Load, health and notice from the response of an upstream's health path."""
+    """Load, health and notice from the response of an upstream's health path.
+
+    ``cold_s`` is for how many more seconds it is cold, ``None`` if it does not say.
+    """
 
     report: LoadReport | None
     is_healthy: bool
     notice: UpstreamNotice = NO_NOTICE
+    cold_s: float | None = None
 
 
 class Prober(Protocol):
--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -9,6 +9,11 @@
 
 import logbook
 
+from .cold_rate_limit import (
+    INSTANCE_COUNT_WINDOW_S,
+    ColdRateLimit,
+    RecentMaximum,
+)
 from .completion_estimate import (
     HealthBaseline,
     count_efficient_slots,
@@ -27,10 +32,10 @@
 )
 from .tracked_upstream import TrackedUpstream
 from .trial_request import find_fastest, log_trial, needs_trial
-from .wait_estimator import WaitEstimator
+from .wait_estimator import TYPICAL_SLOWDOWN, WaitEstimator
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from .balancing_context import BalancingContext
     from .load_report import LoadReport
@@ -55,6 +60,10 @@
 # Share of its latency target that another failure domain must save a request to be
 # chosen, because traffic between failure domains is paid for.
 CROSSING_SAVING_SHARE = 0.25
+# Share of its estimated time that counts in the choice of a cold upstream with a token.
+# A cold upstream looks up to several times as slow as the others and would never be
+# chosen; the tokens limit how many requests that concerns.
+COLD_COST_SHARE = 0.2
 # Suspect and ejected upstreams are used as well if the others make up less than this
 # share.
 PANIC_THRESHOLD = 0.5
@@ -97,7 +106,12 @@
         self.upstreams: dict[str, TrackedUpstream] = {}
         self._removed: dict[str, TrackedUpstream] = {}
         self.service_times = ServiceTimeEstimator()
-        self.probes = ProbeScheduler(prober, failure_domain, generator, clock)
+        self.cold_limit = ColdRateLimit(
+            generator, RecentMaximum(INSTANCE_COUNT_WINDOW_S, 1)
+        )
+        self.probes = ProbeScheduler(
+            prober, failure_domain, generator, clock, self.cold_limit
+        )
         self.refused = 0
         self._instances = 1
         self._failure_domain = failure_domain
@@ -150,6 +164,23 @@
         probed = sum(not tracked.is_evacuated for tracked in self.upstreams.values())
         self.probes.set_budget(per_upstream, probed, self._instances)
 
+    def set_cold_rate(self, rate: float, instances: RecentMaximum) -> None:
+        """Sets the requests per second to each cold upstream from all instances.
+
+        0 means no limit.
+        """
+        self.cold_limit.instances = instances
+        if rate != self.cold_limit.rate:
+            self.cold_limit.rate = rate
+            self._wake.set()
+
+    def record_broken_connection(self, tracked: TrackedUpstream) -> None:
+        """Records that a connection to an upstream broke, perhaps by a restart.
+
+        Where a cold rate is set, the next request follows a probe.
+        """
+        tracked.probed_at = -math.inf
+
     def set_evacuated_domains(self, failure_domains: Iterable[str]) -> None:
         """Sets the failure domains whose upstreams get neither requests nor probes."""
         self._evacuated_domains = frozenset(failure_domains)
@@ -210,6 +241,7 @@
         """Releases an upstream after an attempt and records the outcome."""
         now = self._clock()
         tracked.in_flight -= 1
+        self._return_cold_token(tracked, context, outcome, now)
         self._record_outcome(tracked, context, outcome, now)
         if self._pending:
             # Other instances are not aware of the free slot yet.
@@ -242,6 +274,23 @@
             case Abandoned():
                 pass
 
+    def _return_cold_token(
+        self,
+        tracked: TrackedUpstream,
+        context: BalancingContext,
+        outcome: Outcome,
+        now: float,
+    ) -> None:
+        """Returns the token of a request that did not reach the cold upstream."""
+        if context.cold_token != tracked.upstream.id:
+            return
+        context.cold_token = ""
+        match outcome:
+            case Abandoned(is_unsent=True) | NotRun(is_misdirected=True):
+                self.cold_limit.give_back(tracked, now)
+            case Unreachable():
+                self.cold_limit.give_back(tracked, now)
+
     def close(self) -> None:
         """Cancels the background tasks."""
         if self._dispatch_task is not None:
@@ -317,7 +366,8 @@
             self._pending.remove(pending)
         assigned = pending.assigned
         if assigned.done() and not assigned.cancelled() and not assigned.exception():
-            self.release(assigned.result(), pending.context, Abandoned())
+            unsent = Abandoned(is_unsent=True)
+            self.release(assigned.result(), pending.context, unsent)
 
     async def _dispatch_loop(self) -> None:
         while self._pending:
@@ -356,7 +406,8 @@
             return
         domains = count_failure_domains(self.upstreams.values())
         size = compute_subset_size(len(local), self._instances / domains)
-        await self.probes.run_round(select_subset(local, size), self._get_waiting())
+        subset = self._add_cold(select_subset(local, size), local)
+        await self.probes.run_round(subset, self._get_waiting())
         self._assign_local()
         if self._pending:
             others = select_subset(local, SECOND_ROUND_FACTOR * size)
@@ -365,6 +416,25 @@
             )
             self._assign_local()
 
+    def _add_cold(
+        self, subset: Sequence[TrackedUpstream], local: list[TrackedUpstream]
+    ) -> Sequence[TrackedUpstream]:
+        """Adds cold upstreams with a token to those that are probed first.
+
+        Each instance may send them only its small part of the rate, so the instances
+        that have them in their subset would not use most of it.
+        """
+        now = self._clock()
+        known = {tracked.upstream.id for tracked in subset}
+        cold = [
+            tracked
+            for tracked in local
+            if self.cold_limit.is_cold(tracked, now)
+            and tracked.upstream.id not in known
+            and self.cold_limit.has_token(tracked, now)
+        ]
+        return [*subset, *cold] if cold else subset
+
     def _has_waited_for_crossing(self, waiting: list[BalancingContext]) -> bool:
         """Returns whether a request waits longer than a crossing must save."""
         now = self._clock()
@@ -482,10 +552,18 @@
         so that it may also use upstreams that were slow when last probed.
         """
         for tier in tiers[1:] if self._will_miss_target(context, now) else tiers:
-            if any(tracked.upstream.id not in context.excluded for tracked in tier):
+            if any(self._is_assignable(tracked, context, now) for tracked in tier):
                 return tier
         return []
 
+    def _is_assignable(
+        self, tracked: TrackedUpstream, context: BalancingContext, now: float
+    ) -> bool:
+        """Returns whether a request may be assigned to an eligible upstream now."""
+        if tracked.upstream.id in context.excluded:
+            return False
+        return self.cold_limit.allows(tracked, now)
+
     def _get_sort_key(
         self, context: BalancingContext, now: float
     ) -> tuple[int, bool, float]:
@@ -525,7 +603,9 @@
         best: TrackedUpstream | None = None
         best_cost_s = max_cost_s
         for tracked in upstreams:
-            if tracked.upstream.id in context.excluded or has_trial_in_flight(tracked):
+            if not self._is_assignable(tracked, context, now) or has_trial_in_flight(
+                tracked
+            ):
                 continue
             completion_s, excess = estimate_completion(
                 tracked,
@@ -537,8 +617,10 @@
             if excess or completion_s > max_completion_s:
                 continue
             cost_s = completion_s
+            if self.cold_limit.is_cold(tracked, now):
+                cost_s *= COLD_COST_SHARE
             if not self._is_local(tracked):
-                cost_s = self._add_crossing_cost(context, completion_s)
+                cost_s = self._add_crossing_cost(context, cost_s)
             if cost_s < best_cost_s:
                 best, best_cost_s = tracked, cost_s
         return best
@@ -551,7 +633,11 @@
             return None
         tracked = find_fastest(
             context,
-            upstreams,
+            [
+                tracked
+                for tracked in upstreams
+                if self._is_assignable(tracked, context, now)
+            ],
             self.service_times.get(context.request_kind),
             self._failure_domain,
             self._health_baseline,
@@ -567,6 +653,8 @@
     def _assign_upstream(
         self, pending: PendingAssignment, tracked: TrackedUpstream, now: float
     ) -> None:
+        is_cold = self.cold_limit.take(tracked, now)
+        pending.context.cold_token = tracked.upstream.id if is_cold else ""
         tracked.record_attempt(now)
         self._waits.record_assignment(now)
         pending.assigned.set_result(tracked)
@@ -602,11 +690,21 @@
     def _estimate_wait(self, ahead: int, service_time_s: float, now: float) -> float:
         """Estimates how long a request waits behind others, in seconds."""
         slots = sum(
-            count_efficient_slots(tracked.upstream.slots)
+            self._count_usable_slots(tracked, service_time_s, now)
             for tracked in self._get_eligible()
         )
         return self._waits.estimate(ahead, service_time_s, slots / self._instances, now)
 
+    def _count_usable_slots(
+        self, tracked: TrackedUpstream, service_time_s: float, now: float
+    ) -> float:
+        """Returns how many slots of an upstream all instances can use."""
+        slots = count_efficient_slots(tracked.upstream.slots)
+        if not self.cold_limit.is_cold(tracked, now):
+            return slots
+        # The number that the cold rate keeps in use.
+        return min(slots, self.cold_limit.rate * service_time_s * TYPICAL_SLOWDOWN)
+
     def _add_jitter(self, wait_s: float) -> float:
         """Returns a wait with jitter, so that callers do not all retry at once."""
         jittered_s = wait_s * self._generator.uniform(0.75, 1.5)
--- a/src/verbenacross/balancing/tracked_upstream.py
+++ b/src/verbenacross/balancing/tracked_upstream.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from .cold_rate_limit import ColdTokenBucket
     from .upstream import Upstream
     from .upstream_notice import UpstreamNotice
 
@@ -42,6 +43,8 @@
     __slots__ = (
         "busy_until",
         "cold_start_until",
+        "cold_tokens",
+        "cold_until",
         "consecutive_failures",
         "ejected_until",
         "ejections",
@@ -58,6 +61,7 @@
         "probe",
         "probe_backoff_steps",
         "probe_backoff_until",
+        "probed_at",
         "rank",
         "report",
         "reported_at",
@@ -75,7 +79,12 @@
         # Send times of attempts that the latest load report may not include.
         self.unreported_attempts: deque[float] = deque()
         self.cold_start_until = now + upstream.cold_start_s
+        # Until then the cold rate of the service applies, if it has one.
+        self.cold_until = self.cold_start_until
+        self.cold_tokens: ColdTokenBucket | None = None
         self.probe: asyncio.Task[None] | None = None
+        # Latest successful probe since the upstream was unreachable.
+        self.probed_at = -math.inf
         # Consecutive probes and connection attempts without a response, and the time
         # until which no probe is sent because of them.
         self.probe_backoff_steps = 0
@@ -112,8 +121,25 @@
         self.cold_start_until = max(
             now + upstream.cold_start_s, self.evacuation_ramp_until
         )
+        # The entry may be older than what the upstream stated in responses to probes.
+        self.cold_until = max(self.cold_until, now + upstream.cold_start_s)
         self.is_suspect = False
 
+    def apply_cold_time(self, cold_s: float | None, now: float) -> bool:
+        """Applies for how long an upstream states that it is still cold.
+
+        0 ends the time, except for that after an evacuation; ``None`` changes nothing.
+        Returns whether the upstream became cold or is no longer cold.
+        """
+        was_cold = now < self.cold_until
+        if cold_s is None:
+            return False
+        if cold_s > 0:
+            self.cold_until = max(self.cold_until, now + cold_s)
+        else:
+            self.cold_until = self.evacuation_ramp_until
+        return was_cold is not (now < self.cold_until)
+
     def apply_notice(self, notice: UpstreamNotice, now: float) -> None:
         """Applies what the upstream stated about itself in a response.
 
@@ -140,6 +166,7 @@
             self.cold_start_until = max(
                 self.cold_start_until, self.evacuation_ramp_until
             )
+            self.cold_until = max(self.cold_until, self.evacuation_ramp_until)
         self.is_evacuated = is_evacuated
 
     def record_misdirection(self, reason: str, now: float) -> None:
--- a/src/verbenacross/node/balancer_registry.py
+++ b/src/verbenacross/node/balancer_registry.py
@@ -6,11 +6,13 @@
 import random
 from typing import TYPE_CHECKING, Any
 
+from ..balancing.cold_rate_limit import INSTANCE_COUNT_WINDOW_S, RecentMaximum
 from ..balancing.service_balancer import ServiceBalancer
 from ..balancing.windowed_retry_budget import WindowedRetryBudget
 
 if TYPE_CHECKING:
     from ..balancing.prober import Prober
+    from ..routes.route_table import RouteTable
     from .discovery_state import DiscoveryState
     from .settings import NodeSettings
 
@@ -35,9 +37,11 @@
         self._balancers: dict[str, ServiceBalancer] = {}
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
         self._services_by_upstream: dict[str, str] = {}
+        self._instance_maximum = RecentMaximum(INSTANCE_COUNT_WINDOW_S, 1)
         discovery.upstream_changes.subscribe(self._update_upstream)
         discovery.instance_count_changes.subscribe(self._update_instance_count)
         discovery.evacuation_changes.subscribe(self._update_evacuations)
+        discovery.table_changes.subscribe(self._update_cold_rates)
 
     def get_balancer(self, service: str) -> ServiceBalancer:
         """Returns the balancer of a service."""
@@ -52,6 +56,7 @@
                 self._loop.time,
             )
             balancer.set_evacuated_domains(self._discovery.evacuated_domains)
+            self._update_cold_rate(balancer, self._discovery.table)
             self._update_probe_rate(balancer)
         return balancer
 
@@ -105,6 +110,19 @@
             for tracked in balancer.upstreams.values()
         )
 
+    def count_cold(self) -> int:
+        """Returns how many upstreams the cold rate of their service applies to."""
+        now = self._loop.time()
+        return sum(
+            balancer.cold_limit.is_cold(tracked, now)
+            for balancer in self._balancers.values()
+            for tracked in balancer.upstreams.values()
+        )
+
+    def count_cold_requests(self) -> int:
+        """Returns how many requests took a token of a cold upstream."""
+        return sum(balancer.cold_limit.used for balancer in self._balancers.values())
+
     def count_evacuated(self) -> int:
         """Returns how many upstreams are in evacuated failure domains."""
         return sum(
@@ -120,6 +138,8 @@
                 "waiting": balancer.waiting,
                 "refused": balancer.refused,
                 "probes": balancer.probes.sent,
+                "cold_rate": balancer.cold_limit.rate,
+                "cold_requests": balancer.cold_limit.used,
                 "upstreams": {
                     identifier: {
                         "in_flight": tracked.in_flight,
@@ -128,6 +148,9 @@
                         "draining": tracked.upstream.draining,
                         "leaving": tracked.is_leaving,
                         "evacuated": tracked.is_evacuated,
+                        "cold_for_s": round(
+                            max(0.0, tracked.cold_until - self._loop.time()), 3
+                        ),
                         "busy_for_s": round(
                             max(0.0, tracked.busy_until - self._loop.time()), 3
                         ),
@@ -157,6 +180,17 @@
         balancer.upstreams[identifier].is_suspect = entry.is_suspect
         self._update_probe_rate(balancer)
 
+    def _update_cold_rates(self, table: RouteTable) -> None:
+        for balancer in self._balancers.values():
+            self._update_cold_rate(balancer, table)
+
+    def _update_cold_rate(
+        self, balancer: ServiceBalancer, table: RouteTable | None
+    ) -> None:
+        service = table.services.get(balancer.service) if table is not None else None
+        rate = service.cold_rate if service is not None else 0.0
+        balancer.set_cold_rate(rate, self._instance_maximum)
+
     def _update_evacuations(self, failure_domains: set[str]) -> None:
         for balancer in self._balancers.values():
             balancer.set_evacuated_domains(failure_domains)
@@ -166,6 +200,7 @@
         if count == self.instance_count:
             return
         self.instance_count = count
+        self._instance_maximum.record(count, self._loop.time())
         for balancer in self._balancers.values():
             self._update_probe_rate(balancer)
 
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -240,6 +240,8 @@
             ("upstreams_busy", self.balancers.count_busy()),
             ("evacuated_domains", len(self.discovery.evacuated_domains)),
             ("upstreams_evacuated", self.balancers.count_evacuated()),
+            ("upstreams_cold", self.balancers.count_cold()),
+            ("cold_requests", self.balancers.count_cold_requests()),
             ("buffered_bytes", self.buffers.held_bytes),
             ("streamed_responses", self.buffers.stream_count),
         ):
--- a/src/verbenacross/node/proxied_request.py
+++ b/src/verbenacross/node/proxied_request.py
@@ -127,7 +127,8 @@
             if not self._balancer.accepts(tracked):
                 # It stated that it leaves or is busy after it had been chosen, or its
                 # failure domain was evacuated.
-                self._balancer.release(tracked, self._context, Abandoned())
+                unsent = Abandoned(is_unsent=True)
+                self._balancer.release(tracked, self._context, unsent)
                 continue
             attempt = UpstreamAttempt(
                 self._client, self._balancer, tracked, self._context, self._held
--- a/src/verbenacross/node/upstream_attempt.py
+++ b/src/verbenacross/node/upstream_attempt.py
@@ -189,10 +189,15 @@
         request_sent = self._middleware.may_have_sent()
         reason = repr(error)
         if isinstance(error, AssignmentWithdrawnError):
+            self._outcome = Abandoned(is_unsent=True)
             return NoUsableResponse(reason, request_sent, is_withdrawn=True)
+        has_failed_body = self._body is not None and self._body.failed
+        if not (has_failed_body or isinstance(error, UnusableAnswerError)):
+            self._balancer.record_broken_connection(self.tracked)
         if not request_sent and self._middleware.is_connection_reused():
+            self._outcome = Abandoned(is_unsent=True)
             return NoUsableResponse(reason, request_sent, stale_connection=True)
-        if self._body is not None and self._body.failed:
+        if has_failed_body:
             # The caller ended its body early or exceeded the limit.
             self._outcome = Abandoned()
         elif not request_sent:
@@ -249,7 +254,10 @@
     def _process_rejection(self, response: aiohttp.ClientResponse) -> Rejected:
         if response.status == MISDIRECTED:
             self.tracked.record_misdirection(f"status {MISDIRECTED}", self._loop.time())
-        self._outcome = NotRun(parse_load_header(response.headers))
+        self._outcome = NotRun(
+            parse_load_header(response.headers),
+            is_misdirected=response.status == MISDIRECTED,
+        )
         # A faulty upstream may send the rejection once more. If the caller repeats the
         # request with the same id, nothing would tell the copy from its response.
         response.close()
--- a/src/verbenacross/node/upstream_prober.py
+++ b/src/verbenacross/node/upstream_prober.py
@@ -9,7 +9,12 @@
 
 from ..balancing.prober import ProbeResult
 from ..balancing.upstream_notice import NO_NOTICE
-from ..platform.headers import UPSTREAM_ID, parse_load_header, parse_notice
+from ..platform.headers import (
+    UPSTREAM_ID,
+    parse_cold_time,
+    parse_load_header,
+    parse_notice,
+)
 from ..transport.response_body import read_limited
 
 if TYPE_CHECKING:
@@ -65,7 +70,8 @@
         if identifier != upstream.id:
             raise LookupError(f"{identifier!r} responds at {upstream.address}")
         report = parse_load_header(response.headers)
-        notice = NO_NOTICE
+        notice, cold_s = NO_NOTICE, None
         if UPSTREAM_ID in response.headers:
             notice = parse_notice(response.status, response.headers)
-        return ProbeResult(report, response.status == HTTP_OK, notice)
+            cold_s = parse_cold_time(response.headers)
+        return ProbeResult(report, response.status == HTTP_OK, notice, cold_s)
--- a/src/verbenacross/platform/headers.py
+++ b/src/verbenacross/platform/headers.py
@@ -31,13 +31,17 @@
 UPSTREAM_ID = "X-Instance-Id"
 # "1" on every response of an upstream that is about to leave.
 LEAVING = "Server-Leaving"
+# On responses of the health path: for how many more milliseconds the upstream is cold.
+COLD_TIME = "X-Warmup-Ms"
 # On a rejection with 503: the upstream wants no requests for so long.
 RETRY_AFTER = "Retry-After"
 
+MS_PER_S = 1_000
 MISDIRECTED = 421
 OVERLOADED = 503
 # Longer times are cut to this, in seconds, so that a mistake of an upstream ends.
 MAX_BUSY_S = 600.0
+MAX_COLD_S = 600.0
 MAX_NUMBER_CHARACTERS = 32
 # Callers take a response with one of these statuses as a promise that the request did
 # not run and may be sent again.
@@ -102,6 +106,17 @@
     return UpstreamNotice(is_leaving, busy_for_s)
 
 
+def parse_cold_time(headers: CIMultiDictProxy[str]) -> float | None:
+    """Parses for how many more seconds an upstream is cold, the longest of several.
+
+    Returns ``None`` if absent or malformed.
+    """
+    texts = headers.getall(COLD_TIME, ())
+    if not texts or not all(map(is_small_number, texts)):
+        return None
+    return min(max(int(text) for text in texts) / MS_PER_S, MAX_COLD_S)
+
+
 def parse_retry_after(text: str) -> float:
     """Returns a time in seconds from now, 0 if the value is malformed or past.
 
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -12,6 +12,7 @@
 from .endless_response import EndlessPart, write_endless
 
 HEALTH_PATH = "/health"
+CRLF = "\r\n"
 SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
 SLOW_BODY_PARTS = 20
 # Time between a refusal of another request and the response, in seconds.
@@ -86,6 +87,8 @@
     # Value of Retry-After on rejections, none if empty.
     retry_after: str = ""
     slowness_percent: int = 100
+    # Value of X-Warmup-Ms on responses of the health path, none if empty.
+    warmup_ms: str = ""
     # Replaces the load report if it is not empty.
     load: str = ""
     default_behaviour: Behaviour = "answer"
@@ -166,6 +169,7 @@
             extra = (
                 f"X-Instance-Id: {self.id}\r\nX-Server-Load: {self._format_load()}\r\n"
                 f"{self._format_notices() if self.says_so_to_probes else ''}"
+                f"{f'X-Warmup-Ms: {self.warmup_ms}' + CRLF if self.warmup_ms else ''}"
             )
             writer.write(
                 f"HTTP/1.1 {status}\r\n{extra}Content-Length: 0\r\n\r\n".encode()
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -14,7 +14,9 @@
 from verbenacross.balancing.upstream_notice import UpstreamNotice
 from verbenacross.platform.headers import (
     MAX_BUSY_S,
+    MAX_COLD_S,
     is_not_run,
+    parse_cold_time,
     parse_load_after_response,
     parse_load_header,
     parse_notice,
@@ -112,3 +114,24 @@
     text = email.utils.formatdate(time.time() + 30, usegmt=True)
 
     assert 28.0 <= parse_retry_after(text) <= 30.0
+
+
+@pytest.mark.parametrize(
+    ("texts", "seconds"),
+    [
+        ([], None),
+        (["0"], 0.0),
+        (["2500"], 2.5),
+        (["2500", "3000"], 3.0),
+        (["999999999"], MAX_COLD_S),
+        *[([text], None) for text in ("", "-1", "+1", "1.5", "1e3", "1_0", " 1", "٣")],
+        (["9" * 10], None),
+        (["9" * 5_000], None),
+        (["2500", "soon"], None),
+    ],
+)
+def test_cold_time(texts, seconds):
+    """Guards against a mistake of an upstream that limits it without end."""
+    headers = CIMultiDict(("x-warmup-ms", text) for text in texts)
+
+    assert parse_cold_time(CIMultiDictProxy(headers)) == seconds
