--- a/tests/balancing/builders.py
+++ b/tests/balancing/builders.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import functools
+
+from measure.virtual_loop import run_in_virtual_time
 from verbenacross.balancing.upstream import Upstream
 
 
@@ -18,3 +21,13 @@
         started_ms=0,
     )
     return upstream._replace(**changes)
+
+
+def on_virtual_time(test):
+    """Runs an asynchronous test on virtual time."""
+
+    @functools.wraps(test)
+    def run(**arguments):
+        run_in_virtual_time(test(**arguments))
+
+    return run
