Enforce the quotas of tenants over all instances

Cause: tenants have limits over all instances, which no single instance can check. Change: the package quotas counts requests per tenant, sums them in a coordinator of each failure domain and in a root, and admits by the fractions that the root derives. Links use the path /quotas of the peer address. Nothing runs while no tenant has a limit.

--- a/src/verbenacross/feed/publisher.py
+++ b/src/verbenacross/feed/publisher.py
@@ -15,7 +15,7 @@
 from .messages import Status, Subscribe, Update
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
     from contextlib import AsyncExitStack
 
     from websockets.asyncio.server import ServerConnection
@@ -53,12 +53,15 @@
     A slow subscriber receives only the latest record of each key, so no queue builds
     up. ``subscriber_count`` is the number of open subscriptions, ``receiver_count`` the
     number of those that receive records, which excludes standby subscribers.
+    ``handlers`` serve the connections whose requests have other paths than "/", by
+    path.
     """
 
     def __init__(self, log: RecordLog, is_fresh: Callable[[], bool]) -> None:
         self.subscriber_count = 0
         self.receiver_count = 0
         self.last_subscriber_at = -float("inf")
+        self.handlers: dict[str, Callable[[ServerConnection], Awaitable[None]]] = {}
         self._log = log
         self._is_fresh = is_fresh
         # Replaced when records or the freshness change, and when only the latter does.
@@ -74,7 +77,7 @@
         """
         await stack.enter_async_context(
             serve(
-                self._handle,
+                self._dispatch,
                 address.host,
                 address.port,
                 compression=None,
@@ -97,6 +100,10 @@
     def _handle_batch(self, batch: RecordBatch) -> None:
         self._notify_receivers()
 
+    async def _dispatch(self, connection: ServerConnection) -> None:
+        path = connection.request.path if connection.request else ""
+        await self.handlers.get(path, self._handle)(connection)
+
     async def _handle(self, connection: ServerConnection) -> None:
         instance = "unknown"
         self.subscriber_count += 1
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -20,8 +20,9 @@
 from ..feed.synchronizer import Synchronizer
 from ..platform.records import NODE_PREFIX, WATCHED_PREFIX, decode_change
 from ..platform.store import PlatformStore
+from ..quotas.quota_link import QUOTAS_PATH
+from ..quotas.tenant_quotas import TenantQuotas
 from ..routes.destination_selector import DestinationSelector
-from ..tenants.quota_gate import UnlimitedQuotaGate
 from ..transport.buffer_budget import BufferBudget
 from ..transport.caller_server import CLOSE_TIMEOUT_S, CallerServer
 from ..transport.listening import LISTEN_BACKLOG
@@ -108,9 +109,14 @@
         self.buffers = BufferBudget(
             int(settings.memory_mb * BYTES_PER_MB * BUFFER_SHARE)
         )
+        self.quotas = TenantQuotas(
+            member, self.discovery.get_members, self.discovery.count_instances
+        )
+        self.publisher.handlers[QUOTAS_PATH] = self.quotas.handle_connection
+        self.discovery.table_changes.subscribe(self.quotas.apply_table)
         self.admission = TenantAdmission(
             self.synchronizer.get_staleness_s,
-            UnlimitedQuotaGate(),
+            self.quotas,
             settings.revocation_timeout_s,
         )
         self.handler = RequestHandler(
@@ -168,7 +174,11 @@
         stack.push_async_callback(runner.cleanup)
         await self._listen(runner, listener)
         await self.publisher.listen(stack, settings.peer_listen)
-        for background in (self.synchronizer.run(), self.connections.run(server)):
+        for background in (
+            self.synchronizer.run(),
+            self.connections.run(server),
+            self.quotas.run(),
+        ):
             stack.callback(asyncio.create_task(background).cancel)
         registration = asyncio.create_task(self.registration.run())
         stack.callback(registration.cancel)
@@ -217,6 +227,7 @@
             "sources": self.synchronizer.describe_sources(),
             "knowledge": self.discovery.describe(),
             "services": self.balancers.describe(),
+            "quotas": self.quotas.describe(),
         }
 
     def refresh_metrics(self) -> Registry:
@@ -240,8 +251,10 @@
             ("upstreams_busy", self.balancers.count_busy()),
             ("buffered_bytes", self.buffers.held_bytes),
             ("streamed_responses", self.buffers.stream_count),
+            *self.quotas.get_gauges().items(),
         ):
             self.metrics.gauges.set({"name": name}, float(value))
+        self.metrics.set_quota_fractions(self.quotas.get_fractions())
         return self.metrics.registry
 
     def _apply_batch(self, batch: RecordBatch) -> None:
--- a/src/verbenacross/node/node_metrics.py
+++ b/src/verbenacross/node/node_metrics.py
@@ -39,6 +39,11 @@
             "Requests refused because the tenant has used up its quota",
             registry=self.registry,
         )
+        self._quota_fractions = Gauge(
+            "verbenacross_quota_fraction",
+            "Share of the requests of a tenant with a quota that is admitted",
+            registry=self.registry,
+        )
         self.gauges = Gauge(
             "verbenacross_state",
             "State of the process by name",
@@ -64,3 +69,8 @@
     def record_over_quota(self, tenant: str) -> None:
         """Records a request that was refused because of its tenant's quota."""
         self._over_quota.inc({"tenant": tenant})
+
+    def set_quota_fractions(self, fractions: dict[str, float]) -> None:
+        """Sets the admitted fractions of the tenants that have a quota."""
+        for tenant, fraction in fractions.items():
+            self._quota_fractions.set({"tenant": tenant}, fraction)
--- /dev/null
+++ b/src/verbenacross/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of tenants over all instances."""
--- /dev/null
+++ b/src/verbenacross/quotas/tenant_usage.py
@@ -0,0 +1,227 @@
+"""Demand and admitted requests of tenants in one instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .messages import Report, TenantCount
+from .quota_limit import WINDOW_S, QuotaLimit
+from .rates import DecayingRate
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Mapping
+
+# An instance without a message of its coordinator for this time, in seconds, limits
+# each tenant to the rate that it admitted before.
+COORDINATOR_TIMEOUT_S = 0.5
+# An instance that has not heard from any coordinator since its start admits all
+# requests for this time, in seconds.
+START_GRACE_S = 1.0
+# The coordinator reserves the rate of a silent instance for this time, in seconds.
+RESERVATION_S = 10.0
+# Excess over the previous rate that the bound allows to instances on their own.
+FALLBACK_FACTOR = 1.05
+MIN_RETRY_AFTER_S = 0.2
+MAX_RETRY_AFTER_S = 5.0
+
+
+class TenantUsage:
+    """Counts and admits the requests of one tenant in one instance."""
+
+    def __init__(self, limit: QuotaLimit, generator: random.Random) -> None:
+        self.limit = limit
+        self.demand = 0
+        self.admitted = 0
+        self.fraction: float | None = None
+        self.admitted_rate = DecayingRate(WINDOW_S)
+        self._generator = generator
+        # A random start spreads the admitted requests of instances that see few.
+        self._credit = generator.random()
+        self._fallback_rate: float | None = None
+        self._fallback_at = 0.0
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether requests may be refused."""
+        return self._fallback_rate is not None or (
+            self.fraction is not None and self.fraction < 1
+        )
+
+    def admit(self, now: float) -> float | None:
+        """Admits a request; returns after how many seconds to retry if it does not."""
+        self.demand += 1
+        if self._fallback_rate is not None:
+            self._refill(self._fallback_rate, now)
+        elif self.fraction is None or self.fraction >= 1:
+            self._record_admission(1, now)
+            return None
+        else:
+            self._credit += self.fraction
+        if self._credit >= 1:
+            self._credit -= 1
+            self._record_admission(1, now)
+            return None
+        return self._compute_retry_after()
+
+    def refund(self, now: float) -> None:
+        """Returns the credit of an admitted request that did not run."""
+        self._record_admission(-1, now)
+        if self.is_limited:
+            self._credit = min(self._credit + 1, 2.0)
+
+    @property
+    def is_in_fallback(self) -> bool:
+        """Whether the tenant is limited to a rate for lack of a coordinator."""
+        return self._fallback_rate is not None
+
+    def start_fallback(self, rate_per_s: float, credit: float, now: float) -> None:
+        """Limits the tenant to a rate until ``end_fallback``."""
+        self._fallback_rate = min(rate_per_s, self.limit.rate_per_s)
+        self._fallback_at = now
+        self._credit = credit
+
+    def limit_fallback(self, rate_per_s: float) -> None:
+        """Lowers the rate of a fallback."""
+        if self._fallback_rate is not None:
+            self._fallback_rate = min(self._fallback_rate, rate_per_s)
+
+    def end_fallback(self) -> None:
+        """Admits by the fraction again."""
+        if self._fallback_rate is not None:
+            self._fallback_rate = None
+            self._credit = self._generator.random()
+
+    def _refill(self, rate_per_s: float, now: float) -> None:
+        elapsed_s = max(0.0, now - self._fallback_at)
+        self._fallback_at = now
+        self._credit = min(self._credit + rate_per_s * elapsed_s, 1 + rate_per_s)
+
+    def _record_admission(self, count: int, now: float) -> None:
+        self.admitted += count
+        self.admitted_rate.add(count, now)
+
+    def _compute_retry_after(self) -> float:
+        if self._fallback_rate is not None:
+            delay_s = (1 - self._credit) / max(self._fallback_rate, 1e-3)
+        else:
+            delay_s = 1 / (self.fraction or 1.0) - 1
+        jitter = self._generator.uniform(0.8, 1.2)
+        return min(max(delay_s * jitter, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+
+
+class InstanceUsage:
+    """Usage of all limited tenants in one instance.
+
+    ``heard_at`` is when the coordinator last sent a message, ``None`` before the first.
+    """
+
+    def __init__(self, generator: random.Random, now: float) -> None:
+        self.tenants: dict[str, TenantUsage] = {}
+        self.instance_count = 1
+        self.heard_at: float | None = None
+        self._started_at = now
+        self._generator = generator
+
+    def set_limits(self, limits: Mapping[str, QuotaLimit]) -> None:
+        """Sets the limits; tenants without one are no longer counted."""
+        for name in self.tenants.keys() - limits.keys():
+            del self.tenants[name]
+        for name, limit in limits.items():
+            usage = self.tenants.get(name)
+            if usage is None:
+                self.tenants[name] = TenantUsage(limit, self._generator)
+            else:
+                usage.limit = limit
+                usage.limit_fallback(limit.rate_per_s)
+
+    def admit(self, tenant: str, now: float) -> float | None:
+        """Admits a request; returns after how many seconds to retry if it does not."""
+        usage = self.tenants.get(tenant)
+        if usage is None:
+            return None
+        if self.has_coordinator(now) or self._is_starting(now):
+            usage.end_fallback()
+        else:
+            self._start_fallback(usage, now)
+        return usage.admit(now)
+
+    def refund(self, tenant: str, now: float) -> None:
+        """Returns the credit of an admitted request that did not run."""
+        usage = self.tenants.get(tenant)
+        if usage is not None and usage.demand:
+            usage.refund(now)
+
+    def has_coordinator(self, now: float) -> bool:
+        """Returns whether a coordinator has sent a message recently."""
+        return self.heard_at is not None and now - self.heard_at < COORDINATOR_TIMEOUT_S
+
+    def record_heartbeat(self, now: float) -> None:
+        """Records a message of the coordinator that changes no fraction."""
+        self.heard_at = now
+
+    def set_fractions(self, fractions: Mapping[str, float], now: float) -> None:
+        """Sets the fractions of all tenants as sent by the coordinator."""
+        self.heard_at = now
+        for name, usage in self.tenants.items():
+            usage.fraction = fractions.get(name)
+
+    def get_counts(self) -> dict[str, TenantCount]:
+        """Returns the counts of all tenants that have sent requests, by name."""
+        return {
+            name: TenantCount(name, usage.demand, usage.admitted)
+            for name, usage in self.tenants.items()
+            if usage.demand
+        }
+
+    def _is_starting(self, now: float) -> bool:
+        return self.heard_at is None and now - self._started_at < START_GRACE_S
+
+    def _start_fallback(self, usage: TenantUsage, now: float) -> None:
+        share = usage.limit.rate_per_s / self.instance_count
+        if usage.is_in_fallback:
+            if self.heard_at is not None and now - self.heard_at > RESERVATION_S:
+                usage.limit_fallback(share)
+            return
+        rate = share
+        if self.heard_at is not None:
+            rate = usage.admitted_rate.get(now) * FALLBACK_FACTOR
+        margin = usage.limit.margin / self.instance_count
+        credit = self._generator.random() + min(margin, 1 + rate)
+        usage.start_fallback(rate, credit, now)
+
+
+class UsageReporter:
+    """Reports the usage of an instance over one connection to its coordinator.
+
+    Counts start from 0 with the connection.
+    """
+
+    def __init__(self, usage: InstanceUsage) -> None:
+        self._usage = usage
+        self._base = usage.get_counts()
+        self._sent: dict[str, TenantCount] = {}
+        self._sequence = 0
+
+    def take_report(self, now: float) -> Report | None:
+        """Returns the counts that changed, ``None`` if none did."""
+        changed: list[TenantCount] = []
+        counts = self._usage.get_counts()
+        for kept in (self._base, self._sent):
+            for name in kept.keys() - counts.keys():
+                del kept[name]
+        for name, total in counts.items():
+            base = self._base.get(name, TenantCount(name, 0, 0))
+            count = TenantCount(
+                name, total.demand - base.demand, total.admitted - base.admitted
+            )
+            last = self._sent.get(name)
+            if count != last and (last is not None or count.demand or count.admitted):
+                self._sent[name] = count
+                changed.append(count)
+        return self.take_heartbeat(tuple(changed)) if changed else None
+
+    def take_heartbeat(self, counts: tuple[TenantCount, ...] = ()) -> Report:
+        """Returns a report."""
+        self._sequence += 1
+        return Report(self._sequence, counts)
