--- a/src/verbenacross/feed/publisher.py
+++ b/src/verbenacross/feed/publisher.py
@@ -77,7 +77,7 @@
         """
         await stack.enter_async_context(
             serve(
-                self._dispatch,
+                self._dispatch if self.handlers else self._handle,
                 address.host,
                 address.port,
                 compression=None,
