--- a/src/verbenacross/quotas/quota_coordinator.py
+++ b/src/verbenacross/quotas/quota_coordinator.py
@@ -29,6 +29,9 @@
 CALM_REPORT_INTERVAL_S = 1.0
 # Interval between two reports to the root, in seconds.
 REPORT_INTERVAL_S = 0.2
+# Smaller changes of the total demand are reported once a second, in requests per
+# second: they are within the slack of the bound.
+MIN_RATE_CHANGE = 4.0
 # A domain stops to report a tenant below this share of the threshold.
 THRESHOLD_HYSTERESIS = 0.7
 # Fractions are sent once they changed by this share. The level of the bucket makes up
@@ -94,7 +97,6 @@
 
     def __init__(self) -> None:
         self.is_reported = False
-        self.sent_at = 0.0
         self.sent_rate = 0.0
         self.sent_demand = 0
         self.sent_admitted = 0
@@ -185,6 +187,7 @@
         self._updated_at = now
         self._sequence = 0
         self._reported_at = now
+        self._reported_all_at = now
         # Tenants that had a fraction when this coordinator became the root.
         self._inherited: set[str] = set()
 
@@ -319,11 +322,15 @@
         """Returns the next report to the root, ``None`` if there is nothing to send."""
         if now - self._reported_at < REPORT_INTERVAL_S - 0.01:
             return None
+        # All tenants above the threshold are reported in one message.
+        is_due = now - self._reported_all_at >= CALM_REPORT_INTERVAL_S - 0.01
         counts = [
             count
             for name, state in self.tenants.items()
-            if (count := self._take_count(name, state, now)) is not None
+            if (count := self._take_count(name, state, is_due)) is not None
         ]
+        if is_due:
+            self._reported_all_at = now
         if not counts:
             return None
         self._reported_at = now
@@ -334,9 +341,17 @@
         self._sequence += 1
         return Report(self._sequence, counts)
 
-    def get_fractions(self) -> Fractions:
-        """Returns the message with all fractions."""
-        return Fractions(self.version, dict(self.fractions))
+    def get_fractions(self, hello: Hello) -> Fractions:
+        """Returns the message with the fractions that a child needs.
+
+        A fraction of 1 concerns the reports of coordinators only.
+        """
+        fractions = {
+            name: fraction
+            for name, fraction in self.fractions.items()
+            if fraction < 1 or hello.is_coordinator
+        }
+        return Fractions(self.version, fractions)
 
     def find_missing_domains(self) -> frozenset[str]:
         """Returns the domains that neither report nor have done so recently."""
@@ -488,7 +503,7 @@
         }
 
     def _take_count(
-        self, name: str, state: TenantState, now: float
+        self, name: str, state: TenantState, is_due: bool
     ) -> TenantCount | None:
         """Returns the counts of a tenant if the root needs them now."""
         report = state.report
@@ -505,12 +520,12 @@
             report.is_reported = False
             return None
         is_limited = state.fraction is not None and state.fraction < 1
-        has_changed = abs(rate - report.sent_rate) > limit_share / 4
-        is_due = now - report.sent_at >= CALM_REPORT_INTERVAL_S - 0.01
+        min_change = limit_share / 4 + MIN_RATE_CHANGE / len(self.domains)
+        has_changed = abs(rate - report.sent_rate) > min_change
         if report.is_reported and not (is_limited or has_changed or is_due):
             return None
         report.is_reported = True
-        report.sent_at, report.sent_rate = now, rate
+        report.sent_rate = rate
         report.sent_demand = round(state.demand - report.skipped_demand)
         report.sent_admitted = round(state.admitted - report.skipped_admitted)
         return TenantCount(
--- a/src/verbenacross/quotas/quota_server.py
+++ b/src/verbenacross/quotas/quota_server.py
@@ -10,7 +10,7 @@
 
 from .codec import decode_message, encode_message
 from .exceptions import QuotaError
-from .messages import Fractions, Heartbeat, Hello, Report
+from .messages import Heartbeat, Hello, Message, Report
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -114,19 +114,18 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         is_remote = hello.failure_domain != self._failure_domain
-        sent_version = -1
+        sent: dict[str, float] | None = None
         sent_all_at = -REPEAT_S
         while True:
             if coordinator is not self.coordinator:
                 raise QuotaError("this instance no longer coordinates the sender")
             changed = self._changed
-            message: Fractions | Heartbeat = Heartbeat(coordinator.version)
-            if (
-                coordinator.version != sent_version
-                or loop.time() - sent_all_at >= REPEAT_S
-            ):
-                message = coordinator.get_fractions()
-                sent_version, sent_all_at = message.version, loop.time()
+            fractions = coordinator.get_fractions(hello)
+            message: Message = fractions
+            if fractions.fractions == sent and loop.time() - sent_all_at < REPEAT_S:
+                message = Heartbeat(fractions.version)
+            else:
+                sent, sent_all_at = fractions.fractions, loop.time()
             data = encode_message(message)
             self.sent_messages += 1
             self.sent_bytes += len(data)
--- a/src/verbenacross/quotas/tenant_bucket.py
+++ b/src/verbenacross/quotas/tenant_bucket.py
@@ -19,8 +19,12 @@
 RELEASE_FACTOR = 1.05
 # Domains report a tenant whatever its demand in them once the total exceeds this share
 # of the limit: the sum of unreported demand may be as much as half of the limit.
+# Smaller limits need no such reports, as the slack of the bound covers the unreported
+# demand; so does it for the constant part of the thresholds, in requests per second.
 WATCH_SHARE = 0.7
-UNWATCH_SHARE = 0.6
+UNWATCH_SHARE = 0.64
+WATCH_SLACK = 2.0
+UNWATCH_SLACK = 0.5
 MIN_FRACTION = 1e-6
 
 
@@ -72,5 +76,9 @@
         is_limited = current is not None and current < 1
         if is_limited and demand_per_s * RELEASE_FACTOR > target:
             return 1 - 1e-3
-        watch_share = WATCH_SHARE if current is None else UNWATCH_SHARE
-        return 1.0 if demand_per_s > rate * watch_share else None
+        threshold = (
+            rate * WATCH_SHARE + WATCH_SLACK
+            if current is None
+            else rate * UNWATCH_SHARE + UNWATCH_SLACK
+        )
+        return 1.0 if demand_per_s > threshold else None
