--- a/src/verbenacross/quotas/quota_coordinator.py
+++ b/src/verbenacross/quotas/quota_coordinator.py
@@ -9,7 +9,7 @@
 
 from .messages import Fractions, Report, TenantCount
 from .quota_limit import WINDOW_S, QuotaLimit
-from .rates import DecayingRate, RateEstimate
+from .rates import RateEstimate, WindowedRate
 from .tenant_bucket import TenantBucket
 from .tenant_usage import COORDINATOR_TIMEOUT_S, FALLBACK_FACTOR, RESERVATION_S
 
@@ -117,11 +117,14 @@
         self.admitted = 0.0
         self.demand_rate = RateEstimate()
         self.admitted_rate = RateEstimate()
-        self.window_rate = DecayingRate(WINDOW_S)
+        self.window_rate = WindowedRate(WINDOW_S)
         self.remote: dict[str, RemoteUsage] = {}
         self.fraction: float | None = None
         self.total_demand_per_s = 0.0
         self.total_admitted_per_s = 0.0
+        # Rates of silent instances of the domain, which no fraction reaches.
+        self.silent_demand_per_s = 0.0
+        self.silent_admitted_per_s = 0.0
         self.report = ReportState()
         self.sampled_demand = 0.0
         self.sampled_admitted = 0.0
@@ -161,7 +164,7 @@
         self.heard_at = now
         self.sequence = 0
         self.counts: dict[str, TenantCount] = {}
-        self.rates: dict[str, tuple[DecayingRate, DecayingRate]] = {}
+        self.rates: dict[str, tuple[WindowedRate, WindowedRate]] = {}
         # Requests that were assumed while the child was silent, per tenant.
         self.assumed: dict[str, tuple[float, float]] = {}
 
@@ -393,13 +396,15 @@
         admitted = count.admitted - last.admitted
         rates = child.rates.get(name)
         if rates is None:
-            rates = child.rates[name] = (DecayingRate(WINDOW_S), DecayingRate(WINDOW_S))
+            rates = child.rates[name] = (WindowedRate(WINDOW_S), WindowedRate(WINDOW_S))
         rates[0].add(demand, now)
         rates[1].add(admitted, now)
         state.add(max(0.0, demand - assumed[0]), admitted - assumed[1])
 
     def _assume_silent(self, elapsed_s: float, now: float) -> None:
         """Adds the last rates of silent children, as if they sent requests on."""
+        for state in self.tenants.values():
+            state.silent_demand_per_s = state.silent_admitted_per_s = 0.0
         for key, child in list(self.children.items()):
             if child.is_connected and now - child.heard_at < CHILD_TIMEOUT_S:
                 continue
@@ -416,8 +421,12 @@
                 state = self.tenants.get(name)
                 if state is None:
                     continue
-                demand = demand_rate.get(child.heard_at) * elapsed_s
-                admitted = admitted_rate.get(child.heard_at) * elapsed_s
+                demand_per_s = demand_rate.get(child.heard_at)
+                admitted_per_s = admitted_rate.get(child.heard_at)
+                state.silent_demand_per_s += demand_per_s
+                state.silent_admitted_per_s += admitted_per_s
+                demand = demand_per_s * elapsed_s
+                admitted = admitted_per_s * elapsed_s
                 state.add(demand, admitted)
                 assumed = child.assumed.get(name, (0.0, 0.0))
                 child.assumed[name] = assumed[0] + demand, assumed[1] + admitted
@@ -466,9 +475,14 @@
         demand = state.demand_rate.per_s
         admitted = state.admitted_rate.per_s
         silent = self._find_silent(now)
+        silent_demand = state.silent_demand_per_s
+        reserved = state.silent_admitted_per_s
         for instance, usage in state.remote.items():
             if now > usage.expires_at and instance not in silent:
                 usage.expire()
+            if instance in silent:
+                silent_demand += usage.demand_per_s
+                reserved += usage.admitted_per_s
             consumed += usage.consume(elapsed_s)
             demand += usage.demand_per_s
             admitted += usage.admitted_per_s
@@ -477,20 +491,22 @@
         state.total_demand_per_s = demand * (1 + missing_factor)
         state.total_admitted_per_s = admitted * (1 + missing_factor)
         state.fraction = state.bucket.derive_fraction(
-            state.total_demand_per_s, state.fraction
+            max(0.0, state.total_demand_per_s - silent_demand), state.fraction, reserved
         )
 
     def _derive_orphan(self, state: TenantState, now: float) -> None:
         """Limits the domain to the rate that it admitted before it lost the root."""
         share = 1 / len(self.domains)
         if state.fallback is None:
-            rate = state.window_rate.get(now) * FALLBACK_FACTOR
+            rate = state.window_rate.get(self.root_heard_at) * FALLBACK_FACTOR
             limit = QuotaLimit(min(rate, state.limit.rate_per_s), 0.0)
             state.fallback = TenantBucket(limit, now, state.limit.margin * share)
             state.take_unbilled()
         state.fallback.advance(state.take_unbilled(), now)
         state.fraction = state.fallback.derive_fraction(
-            state.demand_rate.per_s, state.fraction
+            max(0.0, state.demand_rate.per_s - state.silent_demand_per_s),
+            state.fraction,
+            state.silent_admitted_per_s,
         )
 
     def _find_silent(self, now: float) -> set[str]:
--- a/src/verbenacross/quotas/rates.py
+++ b/src/verbenacross/quotas/rates.py
@@ -8,6 +8,11 @@
 SMOOTHING_S = 1.0
 # Counts that differ from the expected one by more standard deviations are a new rate.
 JUMP_DEVIATIONS = 3.0
+BUCKET_S = 0.5
+# Counts are kept for this time beyond the window, in seconds: the rate before the loss
+# of a coordinator is asked for when the loss is noticed.
+SPARE_S = 1.5
+MIN_WINDOW_S = 1.0
 
 
 class RateEstimate:
@@ -31,36 +36,38 @@
         self.per_s = max(0.0, self.per_s + (count / duration_s - self.per_s) * weight)
 
 
-class DecayingRate:
-    """Mean rate of events, weighted exponentially by their age.
+class WindowedRate:
+    """Mean rate of events over a window that ends now or shortly before.
 
-    ``window_s`` is the length of the window with the same mean age of its events.
+    Counts are kept per half second for the window and ``SPARE_S`` more.
     """
 
     def __init__(self, window_s: float) -> None:
-        self._decay_s = window_s / 2
-        self._value = 0.0
-        self._updated_at = -math.inf
+        self._window_s = window_s
+        self._counts: dict[int, float] = {}
         self._started_at: float | None = None
 
     def add(self, count: float, now: float) -> None:
         """Adds events; a negative count removes some."""
         if self._started_at is None:
             self._started_at = now
-        self._value = max(0.0, self._get_value(now) + count / self._decay_s)
-        self._updated_at = now
+        index = int(now / BUCKET_S)
+        if index not in self._counts:
+            first = index - (self._window_s + SPARE_S) / BUCKET_S
+            for old in [old for old in self._counts if old < first]:
+                del self._counts[old]
+        self._counts[index] = self._counts.get(index, 0.0) + count
 
-    def get(self, now: float) -> float:
-        """Returns the events per second."""
+    def get(self, end: float) -> float:
+        """Returns the events per second of the window that ends at a time."""
         if self._started_at is None:
             return 0.0
-        # While the first window is incomplete, the mean is over the elapsed part of it;
-        # at least a tenth of a window, as one event is no rate.
-        elapsed_s = max(now - self._started_at, self._decay_s / 5)
-        return self._get_value(now) / (1 - math.exp(-elapsed_s / self._decay_s))
-
-    def _get_value(self, now: float) -> float:
-        if self._value == 0:
-            return 0.0
-        age_s = max(0.0, now - self._updated_at)
-        return self._value * math.exp(-age_s / self._decay_s)
+        # The last half second is complete, as later events must not count.
+        stop = max(int(end / BUCKET_S), int(self._started_at / BUCKET_S) + 1)
+        first = stop - int(self._window_s / BUCKET_S)
+        counted = sum(
+            count for index, count in self._counts.items() if first <= index < stop
+        )
+        elapsed_s = stop * BUCKET_S - max(self._started_at, first * BUCKET_S)
+        # One event after the start is no rate.
+        return max(0.0, counted / max(elapsed_s, MIN_WINDOW_S))
--- a/src/verbenacross/quotas/tenant_bucket.py
+++ b/src/verbenacross/quotas/tenant_bucket.py
@@ -63,14 +63,17 @@
         self.level = max(min_level, min(level, self.capacity))
 
     def derive_fraction(
-        self, demand_per_s: float, current: float | None
+        self, demand_per_s: float, current: float | None, reserved_per_s: float = 0.0
     ) -> float | None:
         """Returns the fraction to admit of a demand, ``None`` if it is well within.
 
+        ``reserved_per_s`` are requests beside the demand that no fraction reaches.
         1 means that all requests are admitted and all domains report the tenant.
         """
         rate = self.limit.rate_per_s
-        target = max(rate + self.level / SETTLING_S, rate * MIN_RATE_SHARE)
+        target = max(
+            rate + self.level / SETTLING_S - reserved_per_s, rate * MIN_RATE_SHARE
+        )
         if demand_per_s > target:
             return max(MIN_FRACTION, target / demand_per_s)
         is_limited = current is not None and current < 1
@@ -81,4 +84,4 @@
             if current is None
             else rate * UNWATCH_SHARE + UNWATCH_SLACK
         )
-        return 1.0 if demand_per_s > threshold else None
+        return 1.0 if demand_per_s + reserved_per_s > threshold else None
--- a/src/verbenacross/quotas/tenant_usage.py
+++ b/src/verbenacross/quotas/tenant_usage.py
@@ -6,7 +6,7 @@
 
 from .messages import Report, TenantCount
 from .quota_limit import WINDOW_S, QuotaLimit
-from .rates import DecayingRate
+from .rates import WindowedRate
 
 if TYPE_CHECKING:
     import random
@@ -34,7 +34,7 @@
         self.demand = 0
         self.admitted = 0
         self.fraction: float | None = None
-        self.admitted_rate = DecayingRate(WINDOW_S)
+        self.admitted_rate = WindowedRate(WINDOW_S)
         self._generator = generator
         # A random start spreads the admitted requests of instances that see few.
         self._credit = generator.random()
@@ -185,7 +185,7 @@
             return
         rate = share
         if self.heard_at is not None:
-            rate = usage.admitted_rate.get(now) * FALLBACK_FACTOR
+            rate = usage.admitted_rate.get(self.heard_at) * FALLBACK_FACTOR
         margin = usage.limit.margin / self.instance_count
         credit = self._generator.random() + min(margin, 1 + rate)
         usage.start_fallback(rate, credit, now)
