End a quota link on any error; test links on loopback

Heartbeat was imported for type checks only, so the first heartbeat of a root ended the link with a NameError and the link was not replaced.

--- a/src/verbenacross/quotas/quota_coordinator.py
+++ b/src/verbenacross/quotas/quota_coordinator.py
@@ -403,8 +403,8 @@
 
     def _assume_silent(self, elapsed_s: float, now: float) -> None:
         """Adds the last rates of silent children, as if they sent requests on."""
-        for state in self.tenants.values():
-            state.silent_demand_per_s = state.silent_admitted_per_s = 0.0
+        for tenant in self.tenants.values():
+            tenant.silent_demand_per_s = tenant.silent_admitted_per_s = 0.0
         for key, child in list(self.children.items()):
             if child.is_connected and now - child.heard_at < CHILD_TIMEOUT_S:
                 continue
--- a/src/verbenacross/quotas/quota_link.py
+++ b/src/verbenacross/quotas/quota_link.py
@@ -93,7 +93,11 @@
                 group.create_task(self._send_reports(connection))
         except* (TimeoutError, OSError, WebSocketException, QuotaError) as errors:
             self._end(errors.exceptions[0])
+        except* Exception:
+            logger.exception("quota link failed", extra={"peer": self.peer})
         finally:
+            # Another link replaces this one, whatever ended it.
+            self.has_ended = True
             # A closing handshake would wait for a peer that may be unreachable.
             connection.transport.abort()
 
--- a/src/verbenacross/quotas/tenant_quotas.py
+++ b/src/verbenacross/quotas/tenant_quotas.py
@@ -11,7 +11,7 @@
 from .coordinator_choice import list_coordinators, list_roots
 from .exceptions import QuotaError
 from .link_selector import LinkSelector
-from .messages import Fractions, Hello
+from .messages import Fractions, Heartbeat, Hello
 from .quota_coordinator import UPDATE_INTERVAL_S, QuotaCoordinator, Role
 from .quota_limit import get_limits
 from .quota_link import QuotaLink
@@ -27,7 +27,6 @@
     from ..routes.route_table import RouteTable
     from ..tenants.tenant import Tenant
     from .link_selector import MessageHandler
-    from .messages import Heartbeat
     from .quota_limit import QuotaLimit
 
 # A coordinator that lost the root becomes the root itself after this time, in seconds,
--- a/tests/quotas/test_links.py
+++ b/tests/quotas/test_links.py
@@ -12,9 +12,9 @@
 
 from standins.fleet import find_free_ports
 from verbenacross.documents.address import Address
-from verbenacross.feed.codec import encode_message
+from verbenacross.feed.codec import decode_message, encode_message
 from verbenacross.feed.members import Member, rank
-from verbenacross.feed.messages import Subscribe
+from verbenacross.feed.messages import Subscribe, Update
 from verbenacross.feed.publisher import Publisher
 from verbenacross.feed.record_log import RecordLog
 from verbenacross.quotas.quota_link import QUOTAS_PATH
@@ -36,7 +36,8 @@
     def __init__(self, member, members):
         self.member = member
         self.quotas = TenantQuotas(member, lambda: members, lambda: len(members))
-        self.publisher = Publisher(RecordLog(), lambda: True)
+        self.log = RecordLog()
+        self.publisher = Publisher(self.log, lambda: True)
         self.publisher.handlers[QUOTAS_PATH] = self.quotas.handle_connection
         self.stack = AsyncExitStack()
 
@@ -136,9 +137,11 @@
 async def test_subscriptions_are_served_beside_quotas(instances):
     # The protocol of the records must not change.
     address = instances[0].member.address
+    instances[0].log.merge((), 1, "test", is_complete=True)
     async with connect(f"ws://{address}", compression=None) as connection:
         await connection.send(encode_message(Subscribe("x", 0)))
-        await wait_for(lambda: instances[0].publisher.subscriber_count == 1)
+        assert isinstance(decode_message(await connection.recv()), Update)
+        assert instances[0].publisher.subscriber_count == 1
     with suppress(Exception):
         async with connect(f"ws://{address}{QUOTAS_PATH}") as connection:
             await connection.send(b"\xff")
