--- a/src/verbenacross/quotas/quota_coordinator.py
+++ b/src/verbenacross/quotas/quota_coordinator.py
@@ -56,11 +56,15 @@
     """Requests of one tenant in another failure domain, as reported by it."""
 
     def __init__(self, last: TenantCount | None) -> None:
-        self.demand = last.demand if last else 0
-        self.admitted = last.admitted if last else 0
+        self.resume(last)
         self.demand_per_s = 0.0
         self.admitted_per_s = 0.0
         self.expires_at = 0.0
+
+    def resume(self, last: TenantCount | None) -> None:
+        """Counts from the last report on."""
+        self.demand = last.demand if last else 0
+        self.admitted = last.admitted if last else 0
         # Admitted requests that were assumed since the last report.
         self._assumed = 0.0
         self._correction = 0.0
@@ -223,11 +227,17 @@
         self._inherited = {
             name for name, fraction in self.fractions.items() if fraction < 1
         }
-        for state in self.tenants.values():
+        children = {
+            child.hello.instance: child.counts for child in self.children.values()
+        }
+        for name, state in self.tenants.items():
             state.take_unbilled()
             state.fallback = None
-            state.remote.clear()
-            state.bucket = TenantBucket(state.limit, now)
+            # Debt and the last rates of other domains stay in force if this instance
+            # was the root shortly before.
+            for instance, usage in state.remote.items():
+                usage.resume(children.get(instance, {}).get(name))
+            state.bucket = TenantBucket(state.limit, now, min(0.0, state.bucket.level))
 
     def follow(self, now: float) -> None:
         """Is no root from now on."""
--- a/src/verbenacross/quotas/quota_limit.py
+++ b/src/verbenacross/quotas/quota_limit.py
@@ -13,7 +13,7 @@
 SLACK = 20.0
 # Share of the tolerance that is added to the burst, so that random variation of a
 # demand within the limit is not refused. The rest covers the delay of the messages.
-MARGIN_SHARE = 0.3
+MARGIN_SHARE = 0.15
 
 
 class QuotaLimit(NamedTuple):
--- a/src/verbenacross/quotas/tenant_usage.py
+++ b/src/verbenacross/quotas/tenant_usage.py
@@ -21,7 +21,7 @@
 # The coordinator reserves the rate of a silent instance for this time, in seconds.
 RESERVATION_S = 10.0
 # Excess over the previous rate that the bound allows to instances on their own.
-FALLBACK_FACTOR = 1.05
+FALLBACK_FACTOR = 1.0
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 5.0
 
