--- a/src/verbenacross/quotas/rates.py
+++ b/src/verbenacross/quotas/rates.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 
 # Time constant of the estimate while the rate is steady, in seconds.
 SMOOTHING_S = 1.0
-# Counts that differ from the expected one by more standard deviations are a new rate.
-JUMP_DEVIATIONS = 3.0
+# Counts that differ from the expected ones by more standard deviations are a new rate.
+JUMP_DEVIATIONS = 2.5
+# Number of samples in which a jump is looked for. With a single one, a jump of some
+# requests per second was followed after 2 s only.
+JUMP_SAMPLES = 5
 BUCKET_S = 0.5
 # Counts are kept for this time beyond the window, in seconds: the rate before the loss
 # of a coordinator is asked for when the loss is noticed.
@@ -16,22 +20,29 @@
 
 
 class RateEstimate:
-    """Rate of regularly sampled counts that follows jumps within one sample."""
+    """Rate of regularly sampled counts that follows jumps within a few samples."""
 
     def __init__(self) -> None:
         self.per_s = 0.0
+        self._samples: deque[tuple[float, float]] = deque(maxlen=JUMP_SAMPLES)
 
     def update(self, count: float, duration_s: float) -> None:
         """Adds the count of the time since the last sample."""
         if duration_s <= 0:
             return
-        expected = self.per_s * duration_s
-        # The larger count gives the deviation, so that a few requests after a pause
-        # are not taken for a jump.
-        deviation = math.sqrt(max(expected, count, 1.0))
-        if abs(count - expected) > JUMP_DEVIATIONS * deviation:
-            self.per_s = max(0.0, count / duration_s)
-            return
+        self._samples.append((count, duration_s))
+        total_count = total_s = 0.0
+        for sample_count, sample_s in reversed(self._samples):
+            total_count += sample_count
+            total_s += sample_s
+            expected = self.per_s * total_s
+            # The larger count gives the deviation, so that a few requests after a
+            # pause are not taken for a jump.
+            deviation = math.sqrt(max(expected, total_count, 1.0))
+            if abs(total_count - expected) > JUMP_DEVIATIONS * deviation:
+                self.per_s = max(0.0, total_count / total_s)
+                self._samples.clear()
+                return
         weight = 1 - math.exp(-duration_s / SMOOTHING_S)
         self.per_s = max(0.0, self.per_s + (count / duration_s - self.per_s) * weight)
 
--- a/src/verbenacross/quotas/tenant_usage.py
+++ b/src/verbenacross/quotas/tenant_usage.py
@@ -18,6 +18,10 @@
 # An instance that has not heard from any coordinator since its start admits all
 # requests for this time, in seconds.
 START_GRACE_S = 1.0
+# After such a loss the fallback lasts for this time from the next message on, in
+# seconds: a process that was paused reads old messages and the requests of the whole
+# pause before it hears of the current fractions.
+RESUME_DELAY_S = 0.2
 # The coordinator reserves the rate of a silent instance for this time, in seconds.
 RESERVATION_S = 10.0
 # Excess over the previous rate that the bound allows to instances on their own.
@@ -121,6 +125,7 @@
         self.instance_count = 1
         self.heard_at: float | None = None
         self._started_at = now
+        self._trusted_at = 0.0
         self._generator = generator
 
     def set_limits(self, limits: Mapping[str, QuotaLimit]) -> None:
@@ -154,15 +159,21 @@
 
     def has_coordinator(self, now: float) -> bool:
         """Returns whether a coordinator has sent a message recently."""
-        return self.heard_at is not None and now - self.heard_at < COORDINATOR_TIMEOUT_S
+        return (
+            self.heard_at is not None
+            and now - self.heard_at < COORDINATOR_TIMEOUT_S
+            and now >= self._trusted_at
+        )
 
     def record_heartbeat(self, now: float) -> None:
         """Records a message of the coordinator that changes no fraction."""
+        if self.heard_at is not None and now - self.heard_at >= COORDINATOR_TIMEOUT_S:
+            self._trusted_at = now + RESUME_DELAY_S
         self.heard_at = now
 
     def set_fractions(self, fractions: Mapping[str, float], now: float) -> None:
         """Sets the fractions of all tenants as sent by the coordinator."""
-        self.heard_at = now
+        self.record_heartbeat(now)
         for name, usage in self.tenants.items():
             usage.fraction = fractions.get(name)
 
