--- a/src/verbenacross/quotas/quota_coordinator.py
+++ b/src/verbenacross/quotas/quota_coordinator.py
@@ -23,6 +23,9 @@
 # A child that has sent no message for this time, in seconds, is silent: it sends a
 # heartbeat every 0.4 s.
 CHILD_TIMEOUT_S = 1.0
+# A domain that sent a message within this time, in seconds, and does not report a
+# tenant has less demand than the threshold. The rates of others stay in force.
+RECENT_CHILD_S = 0.6
 # Rates that a domain reported are used for this time, in seconds; a domain that
 # reports a tenant does so at least every CALM_REPORT_INTERVAL_S.
 REPORT_LIFETIME_S = 1.6
@@ -485,10 +488,15 @@
         demand = state.demand_rate.per_s
         admitted = state.admitted_rate.per_s
         silent = self._find_silent(now)
+        recent = {
+            child.hello.instance
+            for child in self.children.values()
+            if child.is_connected and now - child.heard_at < RECENT_CHILD_S
+        }
         silent_demand = state.silent_demand_per_s
         reserved = state.silent_admitted_per_s
         for instance, usage in state.remote.items():
-            if now > usage.expires_at and instance not in silent:
+            if now > usage.expires_at and instance in recent:
                 usage.expire()
             if instance in silent:
                 silent_demand += usage.demand_per_s
@@ -510,7 +518,9 @@
         if state.fallback is None:
             rate = state.window_rate.get(self.root_heard_at) * FALLBACK_FACTOR
             limit = QuotaLimit(min(rate, state.limit.rate_per_s), 0.0)
-            state.fallback = TenantBucket(limit, now, state.limit.margin * share)
+            excess = state.window_rate.get_excess(self.root_heard_at, now, rate)
+            level = state.limit.margin * share - excess
+            state.fallback = TenantBucket(limit, now, level)
             state.take_unbilled()
         state.fallback.advance(state.take_unbilled(), now)
         state.fraction = state.fallback.derive_fraction(
--- a/src/verbenacross/quotas/rates.py
+++ b/src/verbenacross/quotas/rates.py
@@ -73,8 +73,7 @@
         """Returns the events per second of the window that ends at a time."""
         if self._started_at is None:
             return 0.0
-        # The last half second is complete, as later events must not count.
-        stop = max(int(end / BUCKET_S), int(self._started_at / BUCKET_S) + 1)
+        stop = self._get_stop(end)
         first = stop - int(self._window_s / BUCKET_S)
         counted = sum(
             count for index, count in self._counts.items() if first <= index < stop
@@ -82,3 +81,15 @@
         elapsed_s = stop * BUCKET_S - max(self._started_at, first * BUCKET_S)
         # One event after the start is no rate.
         return max(0.0, counted / max(elapsed_s, MIN_WINDOW_S))
+
+    def get_excess(self, end: float, now: float, rate_per_s: float) -> float:
+        """Returns by how many events a rate was exceeded since the window's end."""
+        if self._started_at is None:
+            return 0.0
+        stop = self._get_stop(end)
+        counted = sum(count for index, count in self._counts.items() if index >= stop)
+        return max(0.0, counted - rate_per_s * max(0.0, now - stop * BUCKET_S))
+
+    def _get_stop(self, end: float) -> int:
+        # The last half second is complete, as later events must not count.
+        return max(int(end / BUCKET_S), int((self._started_at or 0.0) / BUCKET_S) + 1)
--- a/src/verbenacross/quotas/tenant_usage.py
+++ b/src/verbenacross/quotas/tenant_usage.py
@@ -194,11 +194,14 @@
             if self.heard_at is not None and now - self.heard_at > RESERVATION_S:
                 usage.limit_fallback(share)
             return
-        rate = share
+        rate, excess = share, 0.0
         if self.heard_at is not None:
             rate = usage.admitted_rate.get(self.heard_at) * FALLBACK_FACTOR
+            # What a jump of the demand got before the loss was noticed is made up for.
+            excess = usage.admitted_rate.get_excess(self.heard_at, now, rate)
+            excess = min(excess, rate * WINDOW_S / 2)
         margin = usage.limit.margin / self.instance_count
-        credit = self._generator.random() + min(margin, 1 + rate)
+        credit = self._generator.random() + min(margin, 1 + rate) - excess
         usage.start_fallback(rate, credit, now)
 
 
