Reserve upstream slots for more urgent requests

Cause: requests with different latency objectives share a service, and long requests of low priority occupy the slots that short urgent ones need. Each instance sees too few requests for the order of its queue to help. Change: with the setting reserve_slots, a less urgent request leaves the square root of the urgent classes' mean number of slots free on each upstream, at most half, and is not sent to an upstream that is much slower than the fastest quarter. Off by default; without it nothing changes.

--- a/src/verbenacross/balancing/balancing_context.py
+++ b/src/verbenacross/balancing/balancing_context.py
@@ -11,7 +11,8 @@
 
     After ``target_at`` the response loses part of its value, after ``deadline`` all of
     it. ``excluded`` contains the ids of upstreams that earlier attempts were sent to,
-    ``request_kind`` groups requests with similar service times.
+    ``request_kind`` groups requests with similar service times. ``is_held_back`` states
+    that the request had to wait because of reserved slots.
     """
 
     request_id: str
@@ -21,3 +22,4 @@
     target_at: float
     deadline: float
     excluded: set[str] = field(default_factory=set)
+    is_held_back: bool = False
--- a/src/verbenacross/balancing/completion_estimate.py
+++ b/src/verbenacross/balancing/completion_estimate.py
@@ -36,11 +36,14 @@
     """Time until an upstream would complete a request, in seconds from now.
 
     ``excess`` is the number of requests by which the upstream would exceed the load at
-    which its throughput is highest.
+    which its throughput is highest; ``unused`` of its ``slots`` would remain free below
+    that load.
     """
 
     completion_s: float
     excess: int
+    unused: int
+    slots: int
 
 
 def count_unsaturated_slots(slots: int) -> int:
@@ -119,8 +122,11 @@
         completion_s += REMOTE_DELAY_S
     if tracked.is_unhealthy and not baseline.is_unhealthy:
         completion_s *= UNHEALTHY_SLOWDOWN
+    unused = count_efficient_slots(slots) - busy - 1
     failure_excess = max(0.0, tracked.failure_rate - baseline.failure_rate)
     return CompletionEstimate(
         completion_s * (1 + FAILURE_RATE_PENALTY * failure_excess),
-        excess=max(0, busy + 1 - count_efficient_slots(slots)),
+        excess=max(0, -unused),
+        unused=max(0, unused),
+        slots=slots,
     )
--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import random
+from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
 import logbook
@@ -19,6 +20,12 @@
 from .outcome import Abandoned, Failed, NotRun, Succeeded, Unreachable
 from .probe_scheduler import ProbeScheduler
 from .service_time_estimator import ServiceTimeEstimator
+from .slot_reservation import (
+    SlotReservation,
+    compute_typical_slowness,
+    count_reserved_slots,
+    is_reserved,
+)
 from .subset import (
     compute_rank,
     compute_subset_size,
@@ -36,6 +43,7 @@
     from .load_report import LoadReport
     from .outcome import Outcome
     from .prober import Prober
+    from .slot_reservation import ClassDemand
     from .upstream import Upstream
     from .upstream_notice import UpstreamNotice
 
@@ -108,6 +116,9 @@
         self._wake = asyncio.Event()
         self._waits = WaitEstimator()
         self._health_baseline = HealthBaseline()
+        # ``None`` while no slots are reserved for more urgent requests.
+        self.reservation: SlotReservation | None = None
+        self._typical_slowness = 1.0
 
     @property
     def waiting(self) -> int:
@@ -144,8 +155,37 @@
         self._instances = max(1, instances)
         self.probes.set_budget(per_upstream, len(self.upstreams), self._instances)
 
+    def set_reservation(self, *, is_enabled: bool) -> None:
+        """Sets whether slots are reserved for more urgent requests."""
+        if is_enabled is (self.reservation is not None):
+            return
+        self.reservation = SlotReservation(self.service_times) if is_enabled else None
+        # Requests that were held back may be assigned now.
+        self._wake.set()
+
+    def describe_reservation(self) -> list[tuple[ClassDemand, int]]:
+        """Returns each class and the slots of all upstreams that it leaves free."""
+        if self.reservation is None:
+            return []
+        slots = Counter(
+            tracked.report.slots if tracked.report else tracked.upstream.slots
+            for tracked in self.upstreams.values()
+        )
+        return [
+            (
+                demand,
+                sum(
+                    upstreams * count_reserved_slots(count, demand.urgent_share)
+                    for count, upstreams in slots.items()
+                ),
+            )
+            for demand in self.reservation.get_demand(self._clock())
+        ]
+
     async def acquire(self, context: BalancingContext) -> TrackedUpstream:
         """Waits for an upstream to send an attempt to; raises ``BalancingError``."""
+        if self.reservation is not None:
+            self.reservation.record_request(context, self._clock())
         self._check_candidates(context)
         assigned: asyncio.Future[TrackedUpstream]
         assigned = asyncio.get_running_loop().create_future()
@@ -423,7 +463,9 @@
                 tracked = self._select_for_trial(pending.context, tier, now)
             if tracked is not None:
                 self._assign_upstream(pending, tracked, now)
-            elif not self._refuse_if_too_late(pending, len(remaining), now):
+                continue
+            self._record_held_back(pending.context, tier, now)
+            if not self._refuse_if_too_late(pending, len(remaining), now):
                 remaining.append(pending)
         self._pending = remaining
 
@@ -435,6 +477,8 @@
         """
         eligible = self._get_eligible()
         self._health_baseline = HealthBaseline.from_upstreams(eligible)
+        if self.reservation is not None:
+            self._typical_slowness = compute_typical_slowness(eligible)
         return [
             [
                 tracked
@@ -484,16 +528,23 @@
         upstreams: Iterable[TrackedUpstream],
         now: float,
         max_cost_s: float = math.inf,
+        *,
+        uses_reserved_slots: bool = False,
     ) -> TrackedUpstream | None:
         """Selects the upstream that would complete a request first, if in time.
 
         Another failure domain is chosen only if it saves enough time. Upstreams at the
         load of their highest throughput are left out: one more request would lower it.
         A request that will miss its target only has to be completed by its deadline, so
-        it may use upstreams that noisy neighbours slow down.
+        it may use upstreams that noisy neighbours slow down. Slots that are reserved
+        for more urgent requests are left free unless ``uses_reserved_slots`` is set.
         """
+        urgent_share = 0.0
+        if not uses_reserved_slots:
+            urgent_share = self._get_urgent_share(context, now)
         service_time_s = self.service_times.get(context.request_kind)
-        if self._will_miss_target(context, now):
+        will_miss_target = self._will_miss_target(context, now)
+        if will_miss_target:
             max_completion_s = context.deadline - now
         else:
             # A faster upstream may still become available in time.
@@ -503,14 +554,23 @@
         for tracked in upstreams:
             if tracked.upstream.id in context.excluded or has_trial_in_flight(tracked):
                 continue
-            completion_s, excess = estimate_completion(
+            estimate = estimate_completion(
                 tracked,
                 service_time_s,
                 self._failure_domain,
                 now,
                 self._health_baseline,
             )
-            if excess or completion_s > max_completion_s:
+            completion_s = estimate.completion_s
+            if estimate.excess or completion_s > max_completion_s:
+                continue
+            if urgent_share and is_reserved(
+                tracked,
+                estimate,
+                urgent_share,
+                self._typical_slowness,
+                will_miss_target=will_miss_target,
+            ):
                 continue
             cost_s = completion_s
             if not self._is_local(tracked):
@@ -519,6 +579,22 @@
                 best, best_cost_s = tracked, cost_s
         return best
 
+    def _get_urgent_share(self, context: BalancingContext, now: float) -> float:
+        """Returns the share of the work that more urgent requests bring."""
+        if self.reservation is None:
+            return 0.0
+        return self.reservation.get_urgent_share(context, now)
+
+    def _record_held_back(
+        self, context: BalancingContext, tier: list[TrackedUpstream], now: float
+    ) -> None:
+        """Records a request that waits only because of reserved slots."""
+        if self.reservation is None or context.is_held_back:
+            return
+        if self._select_upstream(context, tier, now, uses_reserved_slots=True):
+            context.is_held_back = True
+            self.reservation.record_held_back(context)
+
     def _select_for_trial(
         self, context: BalancingContext, upstreams: list[TrackedUpstream], now: float
     ) -> TrackedUpstream | None:
@@ -532,6 +608,7 @@
             self._failure_domain,
             self._health_baseline,
             now,
+            self._get_urgent_share(context, now),
         )
         if tracked is None or not self.service_times.try_start_trial(
             context.request_kind, now
--- a/src/verbenacross/balancing/trial_request.py
+++ b/src/verbenacross/balancing/trial_request.py
@@ -11,6 +11,7 @@
 
 from .completion_estimate import estimate_completion
 from .ejection import has_trial_in_flight
+from .slot_reservation import takes_reserved_slot
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -40,17 +41,18 @@
     failure_domain: str,
     baseline: HealthBaseline,
     now: float,
+    urgent_share: float = 0.0,
 ) -> TrackedUpstream | None:
     """Returns the upstream with a free slot that would complete a request first."""
     candidates = []
     for tracked in upstreams:
         if tracked.upstream.id in context.excluded or has_trial_in_flight(tracked):
             continue
-        completion_s, excess = estimate_completion(
+        estimate = estimate_completion(
             tracked, service_time_s, failure_domain, now, baseline
         )
-        if not excess:
-            candidates.append((completion_s, tracked))
+        if not estimate.excess and not takes_reserved_slot(estimate, urgent_share):
+            candidates.append((estimate.completion_s, tracked))
     if not candidates:
         return None
     return min(candidates, key=lambda candidate: candidate[0])[1]
--- a/src/verbenacross/node/balancer_registry.py
+++ b/src/verbenacross/node/balancer_registry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 from ..balancing.service_balancer import ServiceBalancer
@@ -51,6 +52,7 @@
                 self._loop.time,
             )
             self._update_probe_rate(balancer)
+            balancer.set_reservation(is_enabled=self._settings.reserve_slots)
         return balancer
 
     def record_request(self, service: str, now: float) -> WindowedRetryBudget:
@@ -65,13 +67,14 @@
         return retry_budget
 
     def apply_settings(self, settings: NodeSettings) -> None:
-        """Applies changed limits on probes and retries."""
+        """Applies changed limits on probes and retries, and slot reservation."""
         self._settings = settings
         for retry_budget in self._retry_budgets.values():
             retry_budget.ratio = settings.retry_ratio
             retry_budget.slack = settings.retry_slack
         for balancer in self._balancers.values():
             self._update_probe_rate(balancer)
+            balancer.set_reservation(is_enabled=settings.reserve_slots)
 
     def close(self) -> None:
         """Cancels the background tasks of all balancers."""
@@ -103,6 +106,26 @@
             for tracked in balancer.upstreams.values()
         )
 
+    def count_held_back(self) -> int:
+        """Returns how many requests waited because of reserved slots."""
+        return sum(
+            balancer.reservation.held_back.total()
+            for balancer in self._balancers.values()
+            if balancer.reservation is not None
+        )
+
+    def count_reserved_slots(self) -> dict[tuple[str, str], int]:
+        """Returns the slots that each service's kinds of requests leave free.
+
+        A kind of requests with several priorities counts with the highest number.
+        """
+        counts: Counter[tuple[str, str]] = Counter()
+        for name, balancer in self._balancers.items():
+            for demand, reserved in balancer.describe_reservation():
+                key = (name, demand.request_class.kind)
+                counts[key] = max(counts[key], reserved)
+        return counts
+
     def describe(self) -> dict[str, Any]:
         """Returns the content of the state dump."""
         return {
@@ -110,6 +133,7 @@
                 "waiting": balancer.waiting,
                 "refused": balancer.refused,
                 "probes": balancer.probes.sent,
+                "reservation": self._describe_reservation(balancer),
                 "upstreams": {
                     identifier: {
                         "in_flight": tracked.in_flight,
@@ -130,6 +154,25 @@
             for name, balancer in self._balancers.items()
         }
 
+    @staticmethod
+    def _describe_reservation(balancer: ServiceBalancer) -> dict[str, Any] | None:
+        if balancer.reservation is None:
+            return None
+        return {
+            "held_back": dict(balancer.reservation.held_back),
+            "classes": [
+                {
+                    "kind": demand.request_class.kind,
+                    "priority": demand.request_class.priority,
+                    "objective_s": demand.request_class.objective_s,
+                    "work_per_s": round(demand.work_per_s, 3),
+                    "urgent_share": round(demand.urgent_share, 3),
+                    "reserved_slots": reserved,
+                }
+                for demand, reserved in balancer.describe_reservation()
+            ],
+        }
+
     def _update_upstream(self, identifier: str) -> None:
         entry = self._discovery.entries[identifier]
         upstream = entry.upstream
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -238,10 +238,12 @@
             ("probes", self.balancers.count_probes()),
             ("upstreams_leaving", self.balancers.count_leaving()),
             ("upstreams_busy", self.balancers.count_busy()),
+            ("held_back", self.balancers.count_held_back()),
             ("buffered_bytes", self.buffers.held_bytes),
             ("streamed_responses", self.buffers.stream_count),
         ):
             self.metrics.gauges.set({"name": name}, float(value))
+        self.metrics.set_reserved_slots(self.balancers.count_reserved_slots())
         return self.metrics.registry
 
     def _apply_batch(self, batch: RecordBatch) -> None:
--- a/src/verbenacross/node/node_metrics.py
+++ b/src/verbenacross/node/node_metrics.py
@@ -39,12 +39,31 @@
             "Requests refused because the tenant has used up its quota",
             registry=self.registry,
         )
+        self._reserved_kinds: set[tuple[str, str]] = set()
+        self._reserved_slots = Gauge(
+            "verbenacross_reserved_slots",
+            "Slots that requests of a kind leave free for more urgent ones",
+            registry=self.registry,
+        )
         self.gauges = Gauge(
             "verbenacross_state",
             "State of the process by name",
             registry=self.registry,
         )
 
+    def set_reserved_slots(self, counts: dict[tuple[str, str], int]) -> None:
+        """Sets the slots that the kinds of requests of each service leave free."""
+        # Kinds that are no longer seen would otherwise keep their last value.
+        for key in self._reserved_kinds - counts.keys():
+            self._set_reserved(key, 0)
+        for key, count in counts.items():
+            self._set_reserved(key, count)
+        self._reserved_kinds = set(counts)
+
+    def _set_reserved(self, key: tuple[str, str], count: int) -> None:
+        service, kind = key
+        self._reserved_slots.set({"service": service, "kind": kind}, float(count))
+
     def record_request(
         self, service: str, route: Route, status: int, duration_s: float
     ) -> None:
--- a/src/verbenacross/node/settings.py
+++ b/src/verbenacross/node/settings.py
@@ -22,7 +22,8 @@
     limits on retries and probes are shared by all instances. API keys are accepted for
     ``revocation_timeout_s`` while no source confirms the configuration; 0 is no limit.
     ``link_mbps`` is the bandwidth of the instance's link; instances with more of it
-    send records to others.
+    send records to others. ``reserve_slots`` states whether less urgent requests leave
+    slots of upstreams free for more urgent ones.
     """
 
     instance: str
@@ -43,6 +44,7 @@
     retry_slack: float
     probes_per_second: float
     revocation_timeout_s: float
+    reserve_slots: bool
     log_level: str
     log_lines_per_second: int
 
@@ -81,6 +83,7 @@
             retry_slack=root.get_number("retry_slack", 0.0),
             probes_per_second=root.get_number("probes_per_second", 0.0),
             revocation_timeout_s=root.get_duration("revocation_timeout", "0s"),
+            reserve_slots=root.get_bool("reserve_slots", default=False),
             log_level=root.get_string("log_level", default="INFO"),
             log_lines_per_second=root.get_int("log_lines_per_second", 1, default=200),
         )
