--- a/src/verbenacross/balancing/balancing_context.py
+++ b/src/verbenacross/balancing/balancing_context.py
@@ -13,6 +13,7 @@
     it. ``excluded`` contains the ids of upstreams that earlier attempts were sent to,
     ``request_kind`` groups requests with similar service times. ``cold_token`` is the
     id of the cold upstream whose token the latest assignment took, empty if none.
+    ``is_held_back`` states that the request had to wait because of reserved slots.
     """
 
     request_id: str
@@ -23,3 +24,4 @@
     deadline: float
     excluded: set[str] = field(default_factory=set)
     cold_token: str = ""
+    is_held_back: bool = False
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -254,12 +254,14 @@
             ("upstreams_evacuated", self.balancers.count_evacuated()),
             ("upstreams_cold", self.balancers.count_cold()),
             ("cold_requests", self.balancers.count_cold_requests()),
+            ("held_back", self.balancers.count_held_back()),
             ("buffered_bytes", self.buffers.held_bytes),
             ("streamed_responses", self.buffers.stream_count),
             *self.quotas.get_gauges().items(),
         ):
             self.metrics.gauges.set({"name": name}, float(value))
         self.metrics.set_quota_fractions(self.quotas.get_fractions())
+        self.metrics.set_reserved_slots(self.balancers.count_reserved_slots())
         return self.metrics.registry
 
     def _apply_batch(self, batch: RecordBatch) -> None:
