Hedge policy, race of two attempts and immediate assignment

Cause: a request on a slow or silent upstream takes up to its deadline, although another upstream could respond. Change: HedgePolicy decides when and whether a second attempt is sent, AttemptRace runs the two, ServiceBalancer.try_acquire gives an upstream without queueing. The setting hedge_ratio (0 to 0.2) turns it on; 0 is the default and changes nothing.

--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -17,7 +17,7 @@
 from .ejection import has_trial_in_flight, record_failure, record_success
 from .exceptions import BalancingError, DeadlineUnreachableError, NoUpstreamError
 from .outcome import Abandoned, Failed, NotRun, Succeeded, Unreachable
-from .probe_scheduler import ProbeScheduler
+from .probe_scheduler import ROUND_TIMEOUT_S, ProbeScheduler
 from .service_time_estimator import ServiceTimeEstimator
 from .subset import (
     compute_rank,
@@ -30,7 +30,7 @@
 from .wait_estimator import WaitEstimator
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from .balancing_context import BalancingContext
     from .load_report import LoadReport
@@ -60,6 +60,14 @@
 PANIC_THRESHOLD = 0.5
 # Removed upstreams whose notices are kept, as their entries may return.
 MAX_REMOVED_UPSTREAMS = 1_000
+# A request that is queued for longer than the rounds of probes before its first
+# assignment take has found no upstream, in seconds.
+MAX_FIRST_ASSIGNMENT_S = 3 * ROUND_TIMEOUT_S
+# A service that refused a request within this time counts as overloaded, in seconds.
+REFUSAL_MEMORY_S = 1.0
+# Longest estimated completion of a request that is assigned at once, in multiples of
+# its usual time. A slower upstream would not respond before the first one does.
+IMMEDIATE_COST_FACTOR = 3.0
 # Bounds of the retry-after time for refused callers, in seconds.
 MAX_RETRY_AFTER_S = 1.0
 MIN_RETRY_AFTER_S = 0.05
@@ -72,6 +80,7 @@
 
     context: BalancingContext
     assigned: asyncio.Future[TrackedUpstream]
+    queued_at: float
 
 
 class ServiceBalancer:
@@ -99,6 +108,7 @@
         self.service_times = ServiceTimeEstimator()
         self.probes = ProbeScheduler(prober, failure_domain, generator, clock)
         self.refused = 0
+        self._last_refused_at = -math.inf
         self._instances = 1
         self._failure_domain = failure_domain
         self._generator = generator
@@ -146,10 +156,14 @@
 
     async def acquire(self, context: BalancingContext) -> TrackedUpstream:
         """Waits for an upstream to send an attempt to; raises ``BalancingError``."""
-        self._check_candidates(context)
+        try:
+            self._check_candidates(context)
+        except NoUpstreamError:
+            self._last_refused_at = self._clock()
+            raise
         assigned: asyncio.Future[TrackedUpstream]
         assigned = asyncio.get_running_loop().create_future()
-        pending = PendingAssignment(context, assigned)
+        pending = PendingAssignment(context, assigned, self._clock())
         self._pending.append(pending)
         if self._dispatch_task is None or self._dispatch_task.done():
             self._dispatch_task = asyncio.create_task(self._dispatch_loop())
@@ -160,6 +174,54 @@
             self._cancel(pending)
             raise
 
+    async def try_acquire(self, context: BalancingContext) -> TrackedUpstream | None:
+        """Returns an upstream that is free now, ``None`` if there is none.
+
+        Waits for one round of probes at most, and not at all if reports are fresh. The
+        request is never queued, and no upstream is assigned to it while others wait.
+        """
+        if self.is_overloaded():
+            return None
+        eligible = self._get_eligible()
+        local = [
+            tracked
+            for tracked in eligible
+            if self._is_local(tracked) and tracked.upstream.id not in context.excluded
+        ]
+        probed: Sequence[TrackedUpstream] = eligible
+        if local:
+            domains = count_failure_domains(self.upstreams.values())
+            size = compute_subset_size(len(local), self._instances / domains)
+            probed = select_subset(local, size)
+        await self.probes.run_round(probed, [context])
+        if self.is_overloaded():
+            return None
+        now = self._clock()
+        max_cost_s = IMMEDIATE_COST_FACTOR * self.service_times.get(
+            context.request_kind
+        )
+        if not local:
+            max_cost_s = self._add_crossing_cost(context, max_cost_s)
+        recent = self._group_by_report_age(now)[0]
+        tracked = self._select_upstream(context, recent, now, max_cost_s)
+        if tracked is not None:
+            tracked.record_attempt(now)
+            self._waits.record_assignment(now)
+        return tracked
+
+    def is_overloaded(self) -> bool:
+        """Returns whether requests wait for an upstream or were refused just now.
+
+        A request that is queued only until the probes for it return does not wait.
+        """
+        now = self._clock()
+        if now - self._last_refused_at < REFUSAL_MEMORY_S:
+            return True
+        return any(
+            now - pending.queued_at > MAX_FIRST_ASSIGNMENT_S
+            for pending in self._pending
+        )
+
     def has_alternative(
         self, context: BalancingContext, tracked: TrackedUpstream
     ) -> bool:
@@ -573,6 +635,7 @@
 
     def _refuse(self, pending: PendingAssignment, error: BalancingError) -> None:
         self.refused += 1
+        self._last_refused_at = self._clock()
         pending.assigned.set_exception(error)
 
     def _estimate_wait(self, ahead: int, service_time_s: float, now: float) -> float:
--- a/src/verbenacross/documents/fields.py
+++ b/src/verbenacross/documents/fields.py
@@ -73,17 +73,24 @@
         return value
 
     def get_number(
-        self, name: str, minimum: float, default: float | None = None
+        self,
+        name: str,
+        minimum: float,
+        default: float | None = None,
+        maximum: float = math.inf,
     ) -> float:
-        """Returns a number of at least ``minimum``."""
+        """Returns a number of at least ``minimum`` and at most ``maximum``."""
         value = self._fields.get(name, default)
         if isinstance(value, int | float) and value is not True and value >= minimum:
             try:
                 number = float(value)
             except OverflowError:
                 number = math.inf
-            if number < math.inf:
+            if number < math.inf and number <= maximum:
                 return number
+            if number < math.inf:
+                self.add_finding(name, f"must be a number of at most {maximum:g}")
+                return minimum
         self.add_finding(name, f"must be a finite number of at least {minimum}")
         return minimum
 
--- /dev/null
+++ b/src/verbenacross/hedging/__init__.py
@@ -0,0 +1,1 @@
+"""Second attempts for slow requests."""
--- a/src/verbenacross/node/balancer_registry.py
+++ b/src/verbenacross/node/balancer_registry.py
@@ -1,4 +1,4 @@
-"""Balancers and retry budgets by service."""
+"""Balancers, retry budgets and hedge policies by service."""
 
 from __future__ import annotations
 
@@ -8,17 +8,19 @@
 
 from ..balancing.service_balancer import ServiceBalancer
 from ..balancing.windowed_retry_budget import WindowedRetryBudget
+from ..hedging.hedge_policy import HedgePolicy
 
 if TYPE_CHECKING:
     from ..balancing.prober import Prober
+    from ..hedging.hedge_policy import HedgeCounts
     from .discovery_state import DiscoveryState
     from .settings import NodeSettings
 
 
 class BalancerRegistry:
-    """Balancers and retry budgets by service.
+    """Balancers, retry budgets and hedge policies by service.
 
-    Creates both on first use and keeps them up to date with the upstreams and members
+    Creates them on first use and keeps them up to date with the upstreams and members
     of the discovery state. ``instance_count`` is the number of instances that share the
     limits.
     """
@@ -34,6 +36,7 @@
         self._loop = asyncio.get_running_loop()
         self._balancers: dict[str, ServiceBalancer] = {}
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
+        self._hedge_policies: dict[str, HedgePolicy] = {}
         self._services_by_upstream: dict[str, str] = {}
         discovery.upstream_changes.subscribe(self._update_upstream)
         discovery.instance_count_changes.subscribe(self._update_instance_count)
@@ -64,12 +67,23 @@
         retry_budget.record_request(now)
         return retry_budget
 
+    def get_hedge_policy(self, service: str) -> HedgePolicy:
+        """Returns the policy for second attempts of a service's requests."""
+        policy = self._hedge_policies.get(service)
+        if policy is None:
+            policy = self._hedge_policies[service] = HedgePolicy(
+                self._settings.hedge_ratio, self._generator
+            )
+        return policy
+
     def apply_settings(self, settings: NodeSettings) -> None:
-        """Applies changed limits on probes and retries."""
+        """Applies changed limits on probes, retries and second attempts."""
         self._settings = settings
         for retry_budget in self._retry_budgets.values():
             retry_budget.ratio = settings.retry_ratio
             retry_budget.slack = settings.retry_slack
+        for policy in self._hedge_policies.values():
+            policy.ratio = settings.hedge_ratio
         for balancer in self._balancers.values():
             self._update_probe_rate(balancer)
 
@@ -103,6 +117,20 @@
             for tracked in balancer.upstreams.values()
         )
 
+    def get_hedge_counts(self) -> dict[str, HedgeCounts]:
+        """Returns what became of the second attempts of each service."""
+        return {
+            service: policy.counts for service, policy in self._hedge_policies.items()
+        }
+
+    def describe_hedging(self) -> dict[str, Any]:
+        """Returns the second attempts of each service for the state dump."""
+        now = self._loop.time()
+        return {
+            service: policy.describe(now)
+            for service, policy in self._hedge_policies.items()
+        }
+
     def describe(self) -> dict[str, Any]:
         """Returns the content of the state dump."""
         return {
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -217,6 +217,7 @@
             "sources": self.synchronizer.describe_sources(),
             "knowledge": self.discovery.describe(),
             "services": self.balancers.describe(),
+            "hedging": self.balancers.describe_hedging(),
         }
 
     def refresh_metrics(self) -> Registry:
@@ -242,6 +243,8 @@
             ("streamed_responses", self.buffers.stream_count),
         ):
             self.metrics.gauges.set({"name": name}, float(value))
+        for service, counts in self.balancers.get_hedge_counts().items():
+            self.metrics.set_hedge_counts(service, counts)
         return self.metrics.registry
 
     def _apply_batch(self, batch: RecordBatch) -> None:
--- a/src/verbenacross/node/node_metrics.py
+++ b/src/verbenacross/node/node_metrics.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict
 from typing import TYPE_CHECKING
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
 if TYPE_CHECKING:
+    from ..hedging.hedge_policy import HedgeCounts
     from ..routes.route import Route
 
 # Upper bounds of the latency histogram, in seconds.
@@ -39,6 +41,11 @@
             "Requests refused because the tenant has used up its quota",
             registry=self.registry,
         )
+        self._hedges = Counter(
+            "verbenacross_second_attempts_total",
+            "Second attempts for slow requests, by service and result",
+            registry=self.registry,
+        )
         self.gauges = Gauge(
             "verbenacross_state",
             "State of the process by name",
@@ -64,3 +71,8 @@
     def record_over_quota(self, tenant: str) -> None:
         """Records a request that was refused because of its tenant's quota."""
         self._over_quota.inc({"tenant": tenant})
+
+    def set_hedge_counts(self, service: str, counts: HedgeCounts) -> None:
+        """Sets how many second attempts were sent, won and not sent."""
+        for result, count in asdict(counts).items():
+            self._hedges.set({"service": service, "result": result}, count)
--- a/src/verbenacross/node/proxied_request.py
+++ b/src/verbenacross/node/proxied_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -11,6 +12,7 @@
 
 from ..balancing.exceptions import BalancingError
 from ..balancing.outcome import Abandoned
+from ..hedging.attempt_race import AttemptRace
 from ..platform.headers import API_KEY, TENANT
 from ..transport.exceptions import (
     SlowCallerError,
@@ -26,6 +28,12 @@
     reset_caller_connection,
     stream_body_until,
 )
+from .attempt_contender import (
+    AttemptContender,
+    describe_failure,
+    is_usable,
+    merge_failures,
+)
 from .attempt_result import (
     BufferedResponse,
     NoUsableResponse,
@@ -36,10 +44,13 @@
 from .upstream_attempt import UpstreamAttempt
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..balancing.balancing_context import BalancingContext
     from ..balancing.service_balancer import ServiceBalancer
     from ..balancing.tracked_upstream import TrackedUpstream
     from ..balancing.windowed_retry_budget import WindowedRetryBudget
+    from ..hedging.hedge_policy import HedgePolicy
     from ..routes.route import Route
     from ..tenants.tenant import Tenant
     from ..transport.buffer_budget import BufferReservation
@@ -57,10 +68,10 @@
 class ProxiedRequest:
     """Proxies one request of a caller, with retries on other upstreams.
 
-    ``may_have_run`` is false only while no byte was sent, or every upstream that
-    received bytes stated that it did not run the request. ``sends`` counts the attempts
-    that sent at least part of the request. ``upstream`` is the id of the upstream tried
-    last, ``cause`` why the latest attempt failed or why there was none.
+    With hedging, a slow request may have a second attempt while the first one runs.
+    ``sends`` counts the attempts that sent at least part of the request. ``upstream``
+    is the id of the upstream tried last, or of the one whose response was used,
+    ``cause`` why the latest attempt failed or why there was none.
     """
 
     def __init__(
@@ -76,7 +87,6 @@
         instance_count: int,
         held: BufferReservation,
     ) -> None:
-        self.may_have_run = False
         self.sends = 0
         self.upstream = ""
         self.cause = ""
@@ -93,6 +103,12 @@
         self._loop = asyncio.get_running_loop()
         self._headers = copy_end_to_end(request.headers)
         self._headers.popall("Expect", None)
+        # Attempts that are under way, or after which the request may have run.
+        self._possible_runs = 0
+        self._hedge_policy: HedgePolicy | None = None
+        self._is_stopping: Callable[[], bool] = bool
+        self._has_raced = False
+        self._is_counted = False
         self._last_response: BufferedResponse | None = None
         # Whether the next attempt is counted against the retry budget already.
         self._has_spent_retry = False
@@ -101,6 +117,22 @@
         # id, a late response to an earlier request would be taken for its response.
         self._needs_new_connection = not (route.idempotent and context.request_id)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run the request.
+
+        False only while no byte was sent, or every upstream that received bytes stated
+        that it did not run the request.
+        """
+        return self._possible_runs > 0
+
+    def enable_hedging(
+        self, policy: HedgePolicy, is_stopping: Callable[[], bool]
+    ) -> None:
+        """Allows a second attempt, as long as the process is not stopping."""
+        self._hedge_policy = policy
+        self._is_stopping = is_stopping
+
     def set_tenant(self, tenant: Tenant | None) -> None:
         """Replaces the API key by the name of the tenant in what upstreams receive."""
         self._headers.popall(API_KEY, None)
@@ -128,10 +160,18 @@
                 # It stated that it leaves or is busy after it had been chosen.
                 self._balancer.release(tracked, self._context, Abandoned())
                 continue
-            attempt = UpstreamAttempt(
-                self._client, self._balancer, tracked, self._context, self._held
-            )
-            result = await self._run_attempt(attempt)
+            attempt = self._build_attempt(tracked, self._context, self._held)
+            hedge_at = self._find_hedge_time()
+            if hedge_at is None:
+                results = [(attempt, await self._run_first(attempt))]
+            else:
+                results = await self._race(attempt, hedge_at)
+            attempt, result = results[-1]
+            if not is_usable(result):
+                attempt, result = merge_failures(results)
+            elif len(results) > 1:
+                self.cause = describe_failure(*results[0])
+            self.upstream = attempt.tracked.upstream.id
             match result:
                 case BufferedResponse() if not self._should_retry(result):
                     return self._build_response(result)
@@ -147,7 +187,8 @@
                     self.cause = f"{reason} at {self.upstream}"
                     if not self._should_retry_without_response(result):
                         break
-            self._exclude(tracked, result)
+            for attempt, result in results:
+                self._exclude(attempt.tracked, result)
         return self._build_failure_response(retry_after_s, timed_out)
 
     def _exclude(self, tracked: TrackedUpstream, result: AttemptResult) -> None:
@@ -164,29 +205,190 @@
             return
         self._context.excluded.add(tracked.upstream.id)
 
-    async def _run_attempt(self, attempt: UpstreamAttempt) -> AttemptResult:
-        upstream = attempt.tracked.upstream
-        self.upstream = upstream.id
-        self._log_attempt(attempt)
+    def _build_attempt(
+        self,
+        tracked: TrackedUpstream,
+        context: BalancingContext,
+        held: BufferReservation,
+    ) -> UpstreamAttempt:
+        return UpstreamAttempt(self._client, self._balancer, tracked, context, held)
+
+    async def _run_first(self, attempt: UpstreamAttempt) -> AttemptResult:
+        """Runs an attempt while no other is under way."""
         self._has_spent_retry = False
-        may_have_run_before, self.may_have_run = self.may_have_run, True
-        result = await attempt.run(
-            self._request.method,
-            self._target,
-            self._headers,
-            self._body,
+        result = await self._run_attempt(
+            attempt,
+            self.sends + 1,
             new_connection=self._needs_new_connection or self.sends > 0,
         )
+        timed_out = isinstance(result, NoUsableResponse) and result.timed_out
+        if timed_out or is_usable(result):
+            self._record_latency(attempt)
+        return result
+
+    async def _run_attempt(
+        self,
+        attempt: UpstreamAttempt,
+        number: int,
+        *,
+        new_connection: bool,
+        is_hedge: bool = False,
+    ) -> AttemptResult:
+        self.upstream = attempt.tracked.upstream.id
+        self._log_attempt(attempt, number, is_hedge)
+        self._possible_runs += 1
+        try:
+            result = await attempt.run(
+                self._request.method,
+                self._target,
+                self._headers,
+                self._body,
+                new_connection=new_connection,
+            )
+        except asyncio.CancelledError:
+            self.sends += attempt.may_have_sent()
+            raise
         match result:
             case Rejected():
-                self.may_have_run = may_have_run_before
+                self._possible_runs -= 1
             case NoUsableResponse(request_sent=False):
-                self.may_have_run = may_have_run_before
+                self._possible_runs -= 1
         if not (isinstance(result, NoUsableResponse) and not result.request_sent):
             self.sends += 1
         return result
 
-    def _log_attempt(self, attempt: UpstreamAttempt) -> None:
+    def _record_latency(self, attempt: UpstreamAttempt) -> None:
+        if self._hedge_policy is not None and self._route.idempotent:
+            now = self._loop.time()
+            self._hedge_policy.record_latency(
+                self._context.request_kind, now - attempt.started_at, now
+            )
+
+    def _find_hedge_time(self) -> float | None:
+        """Returns when the attempt that starts now may get a second one beside it."""
+        policy = self._hedge_policy
+        if policy is None or self.sends > 0 or self._has_raced:
+            return None
+        now, context = self._loop.time(), self._context
+        if not self._is_counted:
+            self._is_counted = True
+            policy.record_request(now)
+        if (
+            not self._route.idempotent
+            or self._route.max_attempts < 2
+            or not self._body.is_buffered()
+        ):
+            return None
+        return policy.find_hedge_time(
+            context.request_kind, now, context.target_at, context.deadline
+        )
+
+    async def _race(
+        self, attempt: UpstreamAttempt, hedge_at: float
+    ) -> list[tuple[UpstreamAttempt, AttemptResult]]:
+        """Runs an attempt, with a second one beside it once the first is slow."""
+        assert self._hedge_policy is not None
+
+        async def run_first(contender: AttemptContender) -> AttemptResult:
+            return await self._run_first(attempt)
+
+        async def run_second(contender: AttemptContender) -> AttemptResult | None:
+            return await self._run_second(contender, attempt)
+
+        first = AttemptContender(run_first, self._held, self._lose_first, attempt)
+        second = AttemptContender(run_second, self._held.budget.open(), self._log_loss)
+        race = AttemptRace[AttemptResult](first, second, is_usable)
+        finished = await race.run(hedge_at - self._loop.time())
+        results: list[tuple[UpstreamAttempt, AttemptResult]] = []
+        for contender, result in finished:
+            sender = attempt if contender is first else second.attempt
+            assert sender is not None
+            results.append((sender, result))
+        if second.attempt is not None:
+            self._has_raced = True
+            self._held.take_over(second.held)
+            if finished[-1][0] is second and is_usable(finished[-1][1]):
+                self._hedge_policy.counts.won += 1
+        return results
+
+    async def _run_second(
+        self, contender: AttemptContender, first: UpstreamAttempt
+    ) -> AttemptResult | None:
+        """Sends the second attempt, unless a limit or the upstreams forbid it."""
+        policy = self._hedge_policy
+        assert policy is not None
+        now, context = self._loop.time(), self._context
+        if self._is_stopping() or not policy.is_enabled:
+            return None
+        if self._balancer.is_overloaded():
+            policy.counts.unsuitable += 1
+            return None
+        if not policy.try_spend(now):
+            policy.counts.over_budget += 1
+            return None
+        if not self._retry_budget.try_spend(now, self._instance_count):
+            policy.refund()
+            policy.counts.over_budget += 1
+            return None
+        excluded = context.excluded | {first.tracked.upstream.id}
+        second_context = dataclasses.replace(context, excluded=excluded)
+        tracked = None
+        try:
+            tracked = await self._balancer.try_acquire(second_context)
+        finally:
+            if tracked is None:
+                policy.refund()
+                self._retry_budget.refund()
+        if tracked is None:
+            policy.counts.unsuitable += 1
+            return None
+        if first.has_response_head or self._is_stopping():
+            self._balancer.release(tracked, second_context, Abandoned())
+            policy.refund()
+            self._retry_budget.refund()
+            return None
+        attempt = self._build_attempt(tracked, second_context, contender.held)
+        contender.attempt = attempt
+        first.streams_early = attempt.streams_early = True
+        policy.counts.sent += 1
+        # As with a retry: a reused connection may have broken unnoticed.
+        return await self._run_attempt(
+            attempt, self.sends + 2, new_connection=True, is_hedge=True
+        )
+
+    def _lose_first(self, attempt: UpstreamAttempt) -> None:
+        """Records what a first attempt that the second one overtook shows."""
+        policy = self._hedge_policy
+        assert policy is not None
+        self._record_latency(attempt)
+        report = attempt.tracked.report
+        now = self._loop.time()
+        is_silent = not attempt.has_response_head and policy.is_silent(
+            self._context.request_kind,
+            now - attempt.started_at,
+            report.slowness if report is not None else 1.0,
+            now,
+        )
+        if is_silent:
+            attempt.record_silence()
+        self._log_loss(attempt, is_silent=is_silent)
+
+    def _log_loss(self, attempt: UpstreamAttempt, is_silent: bool = False) -> None:
+        now = self._loop.time()
+        logger.info(
+            "attempt abandoned",
+            extra={
+                "request_id": self._context.request_id,
+                "upstream": attempt.tracked.upstream.id,
+                "service": self._balancer.service,
+                "after_ms": round((now - attempt.started_at) * 1000, 1),
+                "is_silent": is_silent,
+            },
+        )
+
+    def _log_attempt(
+        self, attempt: UpstreamAttempt, number: int, is_hedge: bool
+    ) -> None:
         tracked, context = attempt.tracked, self._context
         now = self._loop.time()
         logger.info(
@@ -195,7 +397,7 @@
                 "request_id": context.request_id,
                 "upstream": tracked.upstream.id,
                 "service": self._balancer.service,
-                "attempt": self.sends + 1,
+                "attempt": number,
                 "waited_ms": round((now - context.arrived_at) * 1000, 1),
                 "left_ms": round((context.deadline - now) * 1000),
                 "report": tracked.report,
@@ -203,7 +405,8 @@
                 if tracked.report
                 else None,
                 "in_flight": tracked.in_flight,
-            },
+            }
+            | ({"is_hedge": True} if is_hedge else {}),
         )
 
     def _should_retry(self, response: BufferedResponse) -> bool:
--- a/src/verbenacross/node/request_handler.py
+++ b/src/verbenacross/node/request_handler.py
@@ -234,6 +234,9 @@
         )
         if table.tenants is not None:
             proxied.set_tenant(tenant)
+        hedge_policy = self._balancers.get_hedge_policy(service)
+        if hedge_policy.is_enabled:
+            proxied.enable_hedging(hedge_policy, self._shutdown.started.is_set)
         try:
             response = await proxied.run()
         finally:
--- a/src/verbenacross/node/settings.py
+++ b/src/verbenacross/node/settings.py
@@ -12,6 +12,9 @@
 if TYPE_CHECKING:
     from ..documents.address import Address
 
+# Second attempts for more requests than this would be a considerable load themselves.
+MAX_HEDGE_RATIO = 0.2
+
 
 class NodeSettings(NamedTuple):
     """Settings of the node program; durations are in seconds.
@@ -22,7 +25,8 @@
     limits on retries and probes are shared by all instances. API keys are accepted for
     ``revocation_timeout_s`` while no source confirms the configuration; 0 is no limit.
     ``link_mbps`` is the bandwidth of the instance's link; instances with more of it
-    send records to others.
+    send records to others. ``hedge_ratio`` is the share of the requests that may get a
+    second attempt while the first one has no response; 0 turns them off.
     """
 
     instance: str
@@ -45,6 +49,7 @@
     revocation_timeout_s: float
     log_level: str
     log_lines_per_second: int
+    hedge_ratio: float
 
     @classmethod
     def from_file(cls, path: str) -> NodeSettings:
@@ -83,4 +88,7 @@
             revocation_timeout_s=root.get_duration("revocation_timeout", "0s"),
             log_level=root.get_string("log_level", default="INFO"),
             log_lines_per_second=root.get_int("log_lines_per_second", 1, default=200),
+            hedge_ratio=root.get_number(
+                "hedge_ratio", 0.0, default=0.0, maximum=MAX_HEDGE_RATIO
+            ),
         )
--- a/src/verbenacross/node/upstream_attempt.py
+++ b/src/verbenacross/node/upstream_attempt.py
@@ -88,7 +88,12 @@
         self._context = context
         self._held = held
         self._loop = asyncio.get_running_loop()
-        self._started = self._loop.time()
+        self.started_at = self._loop.time()
+        # Whether the head of a response has arrived.
+        self.has_response_head = False
+        # Whether a response that is declared too large to buffer is streamed from its
+        # start, because another attempt is to be cancelled then.
+        self.streams_early = False
         self._outcome: Outcome = Abandoned()
         self._body: RequestBody | None = None
 
@@ -113,6 +118,7 @@
                 response = await self._send(
                     method, target, headers, body.build_payload(), new_connection
                 )
+                self.has_response_head = True
                 try:
                     result = await self._process_response(response)
                 except BaseException:
@@ -129,6 +135,16 @@
             if not is_streamed:
                 self._release()
 
+    def may_have_sent(self) -> bool:
+        """Returns whether a byte of the request may have been sent."""
+        return self._middleware.may_have_sent()
+
+    def record_silence(self) -> None:
+        """Counts an attempt that is about to be cancelled as a failed one."""
+        waited_ms = (self._loop.time() - self.started_at) * MS_PER_S
+        reason = f"no response head within {waited_ms:.0f} ms"
+        self._outcome = Failed(reason) if self.may_have_sent() else Unreachable(reason)
+
     def end_stream(self, result: StreamedResponse, failure: str | None) -> None:
         """Closes a streamed response and releases its upstream.
 
@@ -156,7 +172,7 @@
     ) -> aiohttp.ClientResponse:
         upstream = self.tracked.upstream
         headers = headers.copy()
-        remaining_s = self._context.deadline - self._started
+        remaining_s = self._context.deadline - self.started_at
         headers[REMAINING_TIME] = str(max(1, int(remaining_s * MS_PER_S)))
         headers[TARGET_UPSTREAM] = upstream.id
         return await self._client.send(
@@ -180,7 +196,7 @@
         request_sent = self._middleware.may_have_sent()
         reason = "no response before the deadline"
         total_s = context.deadline - context.arrived_at
-        if context.deadline - self._started >= MIN_TIME_SHARE * total_s:
+        if context.deadline - self.started_at >= MIN_TIME_SHARE * total_s:
             self._outcome = Failed(reason) if request_sent else Unreachable(reason)
         return NoUsableResponse(reason, request_sent, timed_out=True)
 
@@ -217,7 +233,10 @@
             )
         ending = ResponseEnding.from_response(response)
         headers = copy_end_to_end(response.headers)
-        parts, is_complete = await read_parts(response, MAX_BUFFERED_BYTES, self._held)
+        max_bytes = MAX_BUFFERED_BYTES
+        if self.streams_early and (response.content_length or 0) > MAX_BUFFERED_BYTES:
+            max_bytes = 0
+        parts, is_complete = await read_parts(response, max_bytes, self._held)
         if not is_complete:
             return StreamedResponse(response, headers, parts, ending)
         ending.check()
@@ -240,7 +259,7 @@
     def _build_outcome(self, response: aiohttp.ClientResponse) -> Outcome:
         if response.status >= HTTP_SERVER_ERROR:
             return Failed(f"status {response.status}")
-        latency_s = self._loop.time() - self._started
+        latency_s = self._loop.time() - self.started_at
         return Succeeded(latency_s, parse_load_after_response(response.headers))
 
     def _process_rejection(self, response: aiohttp.ClientResponse) -> Rejected:
--- a/src/verbenacross/transport/buffer_budget.py
+++ b/src/verbenacross/transport/buffer_budget.py
@@ -105,3 +105,8 @@
         """Returns all bytes, which are no longer held."""
         self.budget.held_bytes -= self._bytes
         self._bytes = 0
+
+    def take_over(self, other: BufferReservation) -> None:
+        """Takes over the bytes of another reservation of the same budget."""
+        self._bytes += other._bytes
+        other._bytes = 0
--- a/src/verbenacross/transport/request_body.py
+++ b/src/verbenacross/transport/request_body.py
@@ -96,6 +96,10 @@
         """Returns whether the complete body can be sent again."""
         return not self._stream_started
 
+    def is_buffered(self) -> bool:
+        """Returns whether two attempts may send the complete body at the same time."""
+        return self._buffered is not None or not self._request.body_exists
+
     async def _stream(self) -> AsyncIterator[bytes]:
         self._stream_started = True
         self._send_continue()
