--- a/src/verbenacross/hedging/attempt_race.py
+++ b/src/verbenacross/hedging/attempt_race.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
+from typing import TYPE_CHECKING, Any, Generic, Protocol, TypeVar
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,7 +30,10 @@
         """Closes a result that arrived together with the other attempt's response."""
 
 
-class AttemptRace(Generic[Result]):
+RacingContender = TypeVar("RacingContender", bound=Contender[Any])
+
+
+class AttemptRace(Generic[RacingContender, Result]):
     """Runs an attempt, and a second one if the first has no response in time.
 
     The first usable result ends the race. Every other attempt has ended when ``run``
@@ -39,23 +42,23 @@
 
     def __init__(
         self,
-        first: Contender[Result],
-        second: Contender[Result],
+        first: RacingContender,
+        second: RacingContender,
         is_usable: Callable[[Result], bool],
     ) -> None:
         self._first = first
         self._second = second
         self._is_usable = is_usable
-        self._running: dict[asyncio.Task[Result | None], Contender[Result]] = {}
+        self._running: dict[asyncio.Task[Result | None], RacingContender] = {}
 
-    async def run(self, delay_s: float) -> list[tuple[Contender[Result], Result]]:
+    async def run(self, delay_s: float) -> list[tuple[RacingContender, Result]]:
         """Returns the results in the order of their arrival.
 
         The last one is usable unless both attempts failed. The second attempt starts
         after ``delay_s`` and is not waited for if the first fails before it is sent.
         """
         first = self._start(self._first)
-        finished: list[tuple[Contender[Result], Result]] = []
+        finished: list[tuple[RacingContender, Result]] = []
         has_won = False
         try:
             await asyncio.wait({first}, timeout=max(0.0, delay_s))
@@ -70,12 +73,12 @@
         finally:
             await self._end_others(has_won)
 
-    def _start(self, contender: Contender[Result]) -> asyncio.Task[Result | None]:
+    def _start(self, contender: RacingContender) -> asyncio.Task[Result | None]:
         task = asyncio.create_task(contender.run())
         self._running[task] = contender
         return task
 
-    def _collect(self, finished: list[tuple[Contender[Result], Result]]) -> bool:
+    def _collect(self, finished: list[tuple[RacingContender, Result]]) -> bool:
         """Moves results to ``finished`` up to a usable one; returns whether it is."""
         for task in [task for task in self._running if task.done()]:
             contender = self._running.pop(task)
@@ -91,14 +94,19 @@
         others = list(self._running.items())
         self._running.clear()
         for task, contender in others:
-            if has_won and not task.done() and contender.is_sent():
+            discard = DiscardResult(contender)
+            if task.done():
+                discard(task)
+                continue
+            if has_won and contender.is_sent():
                 contender.lose()
             # A result may arrive although the task is cancelled, and also after a
             # second cancellation of this task has ended the wait below.
-            task.add_done_callback(DiscardResult(contender))
+            task.add_done_callback(discard)
             task.cancel()
-        if others:
-            await asyncio.wait([task for task, _ in others])
+        pending = [task for task, _ in others if not task.done()]
+        if pending:
+            await asyncio.wait(pending)
 
 
 class DiscardResult(Generic[Result]):
--- a/src/verbenacross/node/proxied_request.py
+++ b/src/verbenacross/node/proxied_request.py
@@ -296,17 +296,18 @@
             return await self._run_second(contender, attempt)
 
         first = AttemptContender(run_first, self._held, self._lose_first, attempt)
-        second = AttemptContender(run_second, self._held.budget.open(), self._log_loss)
-        race = AttemptRace[AttemptResult](first, second, is_usable)
-        finished = await race.run(hedge_at - self._loop.time())
+        with self._held.budget.open() as second_held:
+            second = AttemptContender(run_second, second_held, self._log_loss)
+            race: AttemptRace[AttemptContender, AttemptResult]
+            race = AttemptRace(first, second, is_usable)
+            finished = await race.run(hedge_at - self._loop.time())
+            self._held.take_over(second_held)
         results: list[tuple[UpstreamAttempt, AttemptResult]] = []
         for contender, result in finished:
-            sender = attempt if contender is first else second.attempt
-            assert sender is not None
-            results.append((sender, result))
+            assert contender.attempt is not None
+            results.append((contender.attempt, result))
         if second.attempt is not None:
             self._has_raced = True
-            self._held.take_over(second.held)
             if finished[-1][0] is second and is_usable(finished[-1][1]):
                 self._hedge_policy.counts.won += 1
         return results
