--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -26,6 +26,7 @@
     "reset",
     "close",
     "shed",
+    "shed-late",
     "fail",
     "truncate",
     "reset-midway",
@@ -188,7 +189,9 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         request_id = run.headers.get("x-request-id", "")
-        if behaviour == "shed":
+        if behaviour in ("shed", "shed-late"):
+            if behaviour == "shed-late":
+                await asyncio.sleep(self.service_time_s)
             self.refused.append(run)
             writer.write(build_refusal(request_id, notices=self._format_notices(True)))
             return True
