--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -17,7 +17,7 @@
 from .ejection import has_trial_in_flight, record_failure, record_success
 from .exceptions import BalancingError, DeadlineUnreachableError, NoUpstreamError
 from .outcome import Abandoned, Failed, NotRun, Succeeded, Unreachable
-from .probe_scheduler import ROUND_TIMEOUT_S, ProbeScheduler
+from .probe_scheduler import ProbeScheduler
 from .service_time_estimator import ServiceTimeEstimator
 from .subset import (
     compute_rank,
@@ -60,11 +60,9 @@
 PANIC_THRESHOLD = 0.5
 # Removed upstreams whose notices are kept, as their entries may return.
 MAX_REMOVED_UPSTREAMS = 1_000
-# A request that is queued for longer than the rounds of probes before its first
-# assignment take has found no upstream, in seconds.
-MAX_FIRST_ASSIGNMENT_S = 3 * ROUND_TIMEOUT_S
-# A service that refused a request within this time counts as overloaded, in seconds.
-REFUSAL_MEMORY_S = 1.0
+# A service counts as overloaded for this time after it refused a request or found no
+# upstream for one at once, in seconds. An instance may see few requests per second.
+OVERLOAD_MEMORY_S = 1.0
 # Longest estimated completion of a request that is assigned at once, in multiples of
 # its usual time. A slower upstream would not respond before the first one does.
 IMMEDIATE_COST_FACTOR = 3.0
@@ -80,7 +78,6 @@
 
     context: BalancingContext
     assigned: asyncio.Future[TrackedUpstream]
-    queued_at: float
 
 
 class ServiceBalancer:
@@ -108,7 +105,7 @@
         self.service_times = ServiceTimeEstimator()
         self.probes = ProbeScheduler(prober, failure_domain, generator, clock)
         self.refused = 0
-        self._last_refused_at = -math.inf
+        self._last_overload_at = -math.inf
         self._instances = 1
         self._failure_domain = failure_domain
         self._generator = generator
@@ -159,11 +156,11 @@
         try:
             self._check_candidates(context)
         except NoUpstreamError:
-            self._last_refused_at = self._clock()
+            self._last_overload_at = self._clock()
             raise
         assigned: asyncio.Future[TrackedUpstream]
         assigned = asyncio.get_running_loop().create_future()
-        pending = PendingAssignment(context, assigned, self._clock())
+        pending = PendingAssignment(context, assigned)
         self._pending.append(pending)
         if self._dispatch_task is None or self._dispatch_task.done():
             self._dispatch_task = asyncio.create_task(self._dispatch_loop())
@@ -210,17 +207,11 @@
         return tracked
 
     def is_overloaded(self) -> bool:
-        """Returns whether requests wait for an upstream or were refused just now.
+        """Returns whether requests waited for an upstream or were refused lately.
 
-        A request that is queued only until the probes for it return does not wait.
+        A request that only waited for the probes of its first round does not count.
         """
-        now = self._clock()
-        if now - self._last_refused_at < REFUSAL_MEMORY_S:
-            return True
-        return any(
-            now - pending.queued_at > MAX_FIRST_ASSIGNMENT_S
-            for pending in self._pending
-        )
+        return self._clock() - self._last_overload_at < OVERLOAD_MEMORY_S
 
     def has_alternative(
         self, context: BalancingContext, tracked: TrackedUpstream
@@ -360,7 +351,10 @@
     async def _dispatch_loop(self) -> None:
         while self._pending:
             self._wake.clear()
+            considered = {id(pending.assigned) for pending in self._pending}
             await self._probe_and_dispatch()
+            if any(id(pending.assigned) in considered for pending in self._pending):
+                self._last_overload_at = self._clock()
             if not self._pending:
                 break
             try:
@@ -635,7 +629,7 @@
 
     def _refuse(self, pending: PendingAssignment, error: BalancingError) -> None:
         self.refused += 1
-        self._last_refused_at = self._clock()
+        self._last_overload_at = self._clock()
         pending.assigned.set_exception(error)
 
     def _estimate_wait(self, ahead: int, service_time_s: float, now: float) -> float:
