--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -202,8 +202,7 @@
         recent = self._group_by_report_age(now)[0]
         tracked = self._select_upstream(context, recent, now, max_cost_s)
         if tracked is not None:
-            tracked.record_attempt(now)
-            self._waits.record_assignment(now)
+            self._record_assignment(tracked, now)
         return tracked
 
     def is_overloaded(self) -> bool:
@@ -599,9 +598,12 @@
     def _assign_upstream(
         self, pending: PendingAssignment, tracked: TrackedUpstream, now: float
     ) -> None:
+        self._record_assignment(tracked, now)
+        pending.assigned.set_result(tracked)
+
+    def _record_assignment(self, tracked: TrackedUpstream, now: float) -> None:
         tracked.record_attempt(now)
         self._waits.record_assignment(now)
-        pending.assigned.set_result(tracked)
 
     def _refuse_if_too_late(
         self, pending: PendingAssignment, ahead: int, now: float
--- a/tests/hedging/test_race.py
+++ b/tests/hedging/test_race.py
@@ -291,7 +291,8 @@
     site, response = run_one(("answer", 5.0), ("answer", 0.5), **change)
 
     assert response.body == b"u1"
-    assert site.most_under_way == 1
+    # Not even an upstream was looked for.
+    assert site.acquired == ["u1"]
 
 
 def test_no_second_attempt_within_the_budgets():
@@ -314,10 +315,18 @@
         site = FakeSite(("answer", 5.0), ("answer", 0.5))
         loop = asyncio.get_running_loop()
         loop.call_at(1.0, lambda: setattr(site.attempts[0], "has_response_head", True))
-        return await site.send()
+        await site.send()
+        return site.acquired
 
-    _, response = run_in_virtual_time(scenario())
-    assert response.body == b"u1"
+    assert run_in_virtual_time(scenario()) == ["u1"]
+
+
+def test_one_second_attempt_for_a_request():
+    """Guards against a race of the attempt that follows two failed connections."""
+    site, response = run_one(("unsent", 4.0), ("unsent", 1.0), ("answer", 4.0))
+    assert response.body == b"u3"
+    assert site.acquired == ["u1", "u2", "u3"]
+    assert site.policy.counts.sent == 1
 
 
 def test_silent_loser_is_evidence_and_a_slow_one_is_not():
--- a/tests/hedging/test_try_acquire.py
+++ b/tests/hedging/test_try_acquire.py
@@ -21,7 +21,7 @@
     balancer = balancer or build_balancer(prober, *identifiers)
     loop = asyncio.get_running_loop()
     started = loop.time()
-    tracked = await balancer.try_acquire(build_context(excluded=excluded))
+    tracked = await balancer.try_acquire(build_context(1.0, 2.0, excluded))
     return tracked and tracked.upstream.id, loop.time() - started
 
 
--- a/tests/node/test_hedging.py
+++ b/tests/node/test_hedging.py
@@ -189,56 +189,35 @@
     assert len(empty_site.find_runs("r1")) == 2
 
 
-async def test_request_that_may_run_once_has_one_attempt(empty_site):
-    """Guards against work that is done twice."""
-    node = await open_site(empty_site, hedge_ratio=0.2)
-    for upstream in empty_site.upstreams:
-        upstream.service_time_s = SLOW_S
-
-    status, _, _ = await node.call("/once/x", "POST")
-
-    assert status == 200
-    assert len(empty_site.find_runs("r1")) == 1
-
-
-@pytest.mark.parametrize("settings", [{}, {"hedge_ratio": 0}], ids=str)
-async def test_off_unless_the_settings_ask_for_it(empty_site, settings):
-    """Guards earlier deployments against load that nobody asked for."""
+@pytest.mark.parametrize(
+    ("settings", "request_line", "event"),
+    [
+        # It might be run twice.
+        ({"hedge_ratio": 0.2}, ("/once/x", "POST"), None),
+        # Nobody asked for second attempts.
+        ({}, ("/safe/x",), None),
+        ({"hedge_ratio": 0}, ("/safe/x",), None),
+        # Turning them off must not need a restart.
+        ({"hedge_ratio": 0.2}, ("/safe/x",), "reload"),
+        # A process that is about to end starts no more work.
+        ({"hedge_ratio": 0.2}, ("/safe/x",), "stop"),
+    ],
+    ids=["once", "default", "zero", "reloaded", "stopping"],
+)
+async def test_one_attempt_only(empty_site, settings, request_line, event):
+    """Guards against work that is done twice, or that nobody asked for."""
     node = await open_site(empty_site, **settings)
     for upstream in empty_site.upstreams:
         upstream.service_time_s = SLOW_S
-
-    status, _, _ = await node.call()
-
-    assert status == 200
-    assert len(empty_site.find_runs("r1")) == 1
-    assert (await read_counts(node))["sent"] == 0
-
-
-async def test_ratio_is_reloaded(empty_site, tmp_path):
-    """Guards against a setting that needs a restart to turn second attempts off."""
-    node = await open_site(empty_site, hedge_ratio=0.2)
-    (tmp_path / "node-1.json").write_text(
-        json.dumps(node.settings | {"hedge_ratio": 0.0})
-    )
-    node.send_signal(signal.SIGHUP)
-    await wait_until(lambda: node.find_lines("settings reloaded"))
-    for upstream in empty_site.upstreams:
-        upstream.service_time_s = SLOW_S
-
-    assert (await node.call())[0] == 200
-
-    assert len(empty_site.find_runs("r1")) == 1
-
-
-async def test_stopping_process_sends_no_second_attempt(empty_site):
-    """Guards against work that a process starts although it is about to end."""
-    node = await open_site(empty_site, hedge_ratio=0.2)
-    for upstream in empty_site.upstreams:
-        upstream.service_time_s = SLOW_S
-    call = asyncio.create_task(node.call())
+    if event == "reload":
+        path = empty_site.directory / "node-1.json"
+        path.write_text(json.dumps(node.settings | {"hedge_ratio": 0.0}))
+        node.send_signal(signal.SIGHUP)
+        await wait_until(lambda: node.find_lines("settings reloaded"))
+    call = asyncio.create_task(node.call(*request_line))
     await wait_until(lambda: empty_site.find_runs("r1"))
-    node.send_signal(signal.SIGTERM)
+    if event == "stop":
+        node.send_signal(signal.SIGTERM)
 
     assert (await call)[0] == 200
 
