--- a/src/verbenacross/balancing/service_balancer.py
+++ b/src/verbenacross/balancing/service_balancer.py
@@ -80,6 +80,12 @@
 PANIC_THRESHOLD = 0.5
 # Removed upstreams whose notices are kept, as their entries may return.
 MAX_REMOVED_UPSTREAMS = 1_000
+# A service counts as overloaded for this time after it refused a request or found no
+# upstream for one at once, in seconds. An instance may see few requests per second.
+OVERLOAD_MEMORY_S = 1.0
+# Longest estimated completion of a request that is assigned at once, in multiples of
+# its usual time. A slower upstream would not respond before the first one does.
+IMMEDIATE_COST_FACTOR = 3.0
 # Bounds of the retry-after time for refused callers, in seconds.
 MAX_RETRY_AFTER_S = 1.0
 MIN_RETRY_AFTER_S = 0.05
@@ -127,6 +133,7 @@
         )
         self.refused = 0
         self.unprobed = 0
+        self._last_overload_at = -math.inf
         self._instances = 1
         self._failure_domain = failure_domain
         self._evacuated_domains: frozenset[str] = frozenset()
@@ -245,7 +252,11 @@
         """Waits for an upstream to send an attempt to; raises ``BalancingError``."""
         if self.reservation is not None:
             self.reservation.record_request(context, self._clock())
-        self._check_candidates(context)
+        try:
+            self._check_candidates(context)
+        except NoUpstreamError:
+            self._last_overload_at = self._clock()
+            raise
         assigned: asyncio.Future[TrackedUpstream]
         assigned = asyncio.get_running_loop().create_future()
         pending = PendingAssignment(context, assigned)
@@ -259,6 +270,47 @@
             self._cancel(pending)
             raise
 
+    async def try_acquire(self, context: BalancingContext) -> TrackedUpstream | None:
+        """Returns an upstream that is free now, ``None`` if there is none.
+
+        Waits for one round of probes at most, and not at all if reports are fresh. The
+        request is never queued, and no upstream is assigned to it while others wait.
+        """
+        if self.is_overloaded():
+            return None
+        eligible = self._get_eligible()
+        local = [
+            tracked
+            for tracked in eligible
+            if self._is_local(tracked) and tracked.upstream.id not in context.excluded
+        ]
+        probed: Sequence[TrackedUpstream] = eligible
+        if local:
+            domains = count_failure_domains(self.upstreams.values())
+            size = compute_subset_size(len(local), self._instances / domains)
+            probed = select_subset(local, size)
+        await self.probes.run_round(probed, [context])
+        if self.is_overloaded():
+            return None
+        now = self._clock()
+        max_cost_s = IMMEDIATE_COST_FACTOR * self.service_times.get(
+            context.request_kind
+        )
+        if not local:
+            max_cost_s = self._add_crossing_cost(context, max_cost_s)
+        recent = self._group_by_report_age(now)[0]
+        tracked = self._select_upstream(context, recent, now, max_cost_s)
+        if tracked is not None:
+            self._record_assignment(context, tracked, now)
+        return tracked
+
+    def is_overloaded(self) -> bool:
+        """Returns whether requests waited for an upstream or were refused lately.
+
+        A request that only waited for the probes of its first round does not count.
+        """
+        return self._clock() - self._last_overload_at < OVERLOAD_MEMORY_S
+
     def has_alternative(
         self, context: BalancingContext, tracked: TrackedUpstream
     ) -> bool:
@@ -420,7 +472,10 @@
     async def _dispatch_loop(self) -> None:
         while self._pending:
             self._wake.clear()
+            considered = {id(pending.assigned) for pending in self._pending}
             await self._probe_and_dispatch()
+            if any(id(pending.assigned) in considered for pending in self._pending):
+                self._last_overload_at = self._clock()
             if not self._pending:
                 break
             try:
@@ -487,6 +542,7 @@
                 remaining.append(pending)
             else:
                 self.unprobed += 1
+                self._last_overload_at = now
                 self._assign_upstream(pending, tracked, now)
         self._pending = remaining
 
@@ -788,12 +844,17 @@
 
     def _assign_upstream(
         self, pending: PendingAssignment, tracked: TrackedUpstream, now: float
+    ) -> None:
+        self._record_assignment(pending.context, tracked, now)
+        pending.assigned.set_result(tracked)
+
+    def _record_assignment(
+        self, context: BalancingContext, tracked: TrackedUpstream, now: float
     ) -> None:
         is_cold = self.cold_limit.take(tracked, now)
-        pending.context.cold_token = tracked.upstream.id if is_cold else ""
+        context.cold_token = tracked.upstream.id if is_cold else ""
         tracked.record_attempt(now)
         self._waits.record_assignment(now)
-        pending.assigned.set_result(tracked)
 
     def _refuse_if_too_late(
         self, pending: PendingAssignment, ahead: int, now: float
@@ -821,6 +882,7 @@
 
     def _refuse(self, pending: PendingAssignment, error: BalancingError) -> None:
         self.refused += 1
+        self._last_overload_at = self._clock()
         pending.assigned.set_exception(error)
 
     def _estimate_wait(self, ahead: int, service_time_s: float, now: float) -> float:
--- a/src/verbenacross/node/balancer_registry.py
+++ b/src/verbenacross/node/balancer_registry.py
@@ -1,4 +1,4 @@
-"""Balancers and retry budgets by service."""
+"""Balancers, retry budgets and hedge policies by service."""
 
 from __future__ import annotations
 
@@ -10,18 +10,20 @@
 from ..balancing.cold_rate_limit import INSTANCE_COUNT_WINDOW_S, RecentMaximum
 from ..balancing.service_balancer import ServiceBalancer
 from ..balancing.windowed_retry_budget import WindowedRetryBudget
+from ..hedging.hedge_policy import HedgePolicy
 
 if TYPE_CHECKING:
     from ..balancing.prober import Prober
+    from ..hedging.hedge_policy import HedgeCounts
     from ..routes.route_table import RouteTable
     from .discovery_state import DiscoveryState
     from .settings import NodeSettings
 
 
 class BalancerRegistry:
-    """Balancers and retry budgets by service.
+    """Balancers, retry budgets and hedge policies by service.
 
-    Creates both on first use and keeps them up to date with the upstreams and members
+    Creates them on first use and keeps them up to date with the upstreams and members
     of the discovery state. ``instance_count`` is the number of instances that share the
     limits.
     """
@@ -37,6 +39,7 @@
         self._loop = asyncio.get_running_loop()
         self._balancers: dict[str, ServiceBalancer] = {}
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
+        self._hedge_policies: dict[str, HedgePolicy] = {}
         self._services_by_upstream: dict[str, str] = {}
         self._instance_maximum = RecentMaximum(INSTANCE_COUNT_WINDOW_S, 1)
         discovery.upstream_changes.subscribe(self._update_upstream)
@@ -73,12 +76,23 @@
         retry_budget.record_request(now)
         return retry_budget
 
+    def get_hedge_policy(self, service: str) -> HedgePolicy:
+        """Returns the policy for second attempts of a service's requests."""
+        policy = self._hedge_policies.get(service)
+        if policy is None:
+            policy = self._hedge_policies[service] = HedgePolicy(
+                self._settings.hedge_ratio, self._generator
+            )
+        return policy
+
     def apply_settings(self, settings: NodeSettings) -> None:
-        """Applies changed limits on probes and retries, and slot reservation."""
+        """Applies changed limits, and slot reservation."""
         self._settings = settings
         for retry_budget in self._retry_budgets.values():
             retry_budget.ratio = settings.retry_ratio
             retry_budget.slack = settings.retry_slack
+        for policy in self._hedge_policies.values():
+            policy.ratio = settings.hedge_ratio
         for balancer in self._balancers.values():
             self._update_probe_rate(balancer)
             balancer.set_reservation(is_enabled=settings.reserve_slots)
@@ -158,6 +172,20 @@
                 counts[key] = max(counts[key], reserved)
         return counts
 
+    def get_hedge_counts(self) -> dict[str, HedgeCounts]:
+        """Returns what became of the second attempts of each service."""
+        return {
+            service: policy.counts for service, policy in self._hedge_policies.items()
+        }
+
+    def describe_hedging(self) -> dict[str, Any]:
+        """Returns the second attempts of each service for the state dump."""
+        now = self._loop.time()
+        return {
+            service: policy.describe(now)
+            for service, policy in self._hedge_policies.items()
+        }
+
     def describe(self) -> dict[str, Any]:
         """Returns the content of the state dump."""
         return {
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -228,6 +228,7 @@
             "knowledge": self.discovery.describe(),
             "services": self.balancers.describe(),
             "quotas": self.quotas.describe(),
+            "hedging": self.balancers.describe_hedging(),
         }
 
     def refresh_metrics(self) -> Registry:
@@ -262,6 +263,8 @@
             self.metrics.gauges.set({"name": name}, float(value))
         self.metrics.set_quota_fractions(self.quotas.get_fractions())
         self.metrics.set_reserved_slots(self.balancers.count_reserved_slots())
+        for service, counts in self.balancers.get_hedge_counts().items():
+            self.metrics.set_hedge_counts(service, counts)
         return self.metrics.registry
 
     def _apply_batch(self, batch: RecordBatch) -> None:
--- a/src/verbenacross/node/node_metrics.py
+++ b/src/verbenacross/node/node_metrics.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict
 from typing import TYPE_CHECKING
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
 if TYPE_CHECKING:
+    from ..hedging.hedge_policy import HedgeCounts
     from ..routes.route import Route
 
 # Upper bounds of the latency histogram, in seconds.
@@ -50,6 +52,11 @@
             "Slots that requests of a kind leave free for more urgent ones",
             registry=self.registry,
         )
+        self._hedges = Counter(
+            "verbenacross_second_attempts_total",
+            "Second attempts for slow requests, by service and result",
+            registry=self.registry,
+        )
         self.gauges = Gauge(
             "verbenacross_state",
             "State of the process by name",
@@ -93,3 +100,8 @@
         """Sets the admitted fractions of the tenants that have a quota."""
         for tenant, fraction in fractions.items():
             self._quota_fractions.set({"tenant": tenant}, fraction)
+
+    def set_hedge_counts(self, service: str, counts: HedgeCounts) -> None:
+        """Sets how many second attempts were sent, won and not sent."""
+        for result, count in asdict(counts).items():
+            self._hedges.set({"service": service, "result": result}, count)
--- a/src/verbenacross/node/settings.py
+++ b/src/verbenacross/node/settings.py
@@ -12,6 +12,9 @@
 if TYPE_CHECKING:
     from ..documents.address import Address
 
+# Second attempts for more requests than this would be a considerable load themselves.
+MAX_HEDGE_RATIO = 0.2
+
 
 class NodeSettings(NamedTuple):
     """Settings of the node program; durations are in seconds.
@@ -23,7 +26,9 @@
     ``revocation_timeout_s`` while no source confirms the configuration; 0 is no limit.
     ``link_mbps`` is the bandwidth of the instance's link; instances with more of it
     send records to others. ``reserve_slots`` states whether less urgent requests leave
-    slots of upstreams free for more urgent ones.
+    slots of upstreams free for more urgent ones. ``hedge_ratio`` is the share of the
+    requests that may get a second attempt while the first one has no response; 0 turns
+    them off.
     """
 
     instance: str
@@ -47,6 +52,7 @@
     reserve_slots: bool
     log_level: str
     log_lines_per_second: int
+    hedge_ratio: float
 
     @classmethod
     def from_file(cls, path: str) -> NodeSettings:
@@ -86,4 +92,7 @@
             reserve_slots=root.get_bool("reserve_slots", default=False),
             log_level=root.get_string("log_level", default="INFO"),
             log_lines_per_second=root.get_int("log_lines_per_second", 1, default=200),
+            hedge_ratio=root.get_number(
+                "hedge_ratio", 0.0, default=0.0, maximum=MAX_HEDGE_RATIO
+            ),
         )
