Admit first requests before repeated ones over a quota

Coordinators that had just restarted took their few requests for the rate of a window and refused nearly all of a tenant's requests for half a second (fractions of 1e-6). Change: a request with much less time left than others of its route counts as a repeat and needs more credit of the fraction. Retry-After leaves time for a window of refused requests. For the first 5 s of a process, the fallback is its share of the limit.

--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -132,6 +132,7 @@
             self.admission,
         )
         self.discovery.table_changes.subscribe(self._apply_limits)
+        self.discovery.table_changes.subscribe(self.admission.apply_table)
 
     @classmethod
     async def run_from_settings(
--- a/src/verbenacross/node/request_handler.py
+++ b/src/verbenacross/node/request_handler.py
@@ -143,7 +143,8 @@
         route = table.find(read_host(request, target), target.path)
         if route is None:
             return self._refuse(404, "unknown-route", request_id, arrived)
-        match self._admission.admit(request, table, route, arrived):
+        remaining_s = read_remaining_time_s(request)
+        match self._admission.admit(request, table, route, remaining_s, arrived):
             case Unauthorized():
                 return self._refuse(401, "unknown-key", request_id, arrived)
             case Unverified(retry_after_s):
--- a/src/verbenacross/node/tenant_admission.py
+++ b/src/verbenacross/node/tenant_admission.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ..platform.headers import API_KEY
+from .repeat_detector import RepeatDetector
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -77,13 +78,24 @@
         self.revocation_timeout_s = revocation_timeout_s
         self._get_staleness_s = get_staleness_s
         self._quotas = quotas
+        self._repeats = RepeatDetector()
+
+    def apply_table(self, table: RouteTable) -> None:
+        """Forgets what is known of routes that a configuration no longer has."""
+        self._repeats.forget(set(table.routes))
 
     def admit(
-        self, request: web.BaseRequest, table: RouteTable, route: Route, now: float
+        self,
+        request: web.BaseRequest,
+        table: RouteTable,
+        route: Route,
+        remaining_s: float | None,
+        now: float,
     ) -> AdmissionResult:
         """Identifies the tenant and takes a credit of its quota.
 
-        An admitted request is handled within ``hold_credit``.
+        The caller waits for ``remaining_s``. An admitted request is handled within
+        ``hold_credit``.
         """
         if table.tenants is None or route.is_public:
             return Admitted(None)
@@ -96,7 +108,8 @@
             return Unauthorized()
         if 0 < self.revocation_timeout_s < staleness_s:
             return Unverified(STALE_RETRY_AFTER_S)
-        retry_after_s = self._quotas.admit(tenant, now)
+        is_repeat = self._repeats.is_repeat(route.key, remaining_s, now)
+        retry_after_s = self._quotas.admit(tenant, now, is_repeat=is_repeat)
         if retry_after_s is not None:
             return OverQuota(tenant, retry_after_s)
         return Admitted(tenant)
--- a/src/verbenacross/quotas/quota_coordinator.py
+++ b/src/verbenacross/quotas/quota_coordinator.py
@@ -11,7 +11,12 @@
 from .quota_limit import WINDOW_S, QuotaLimit
 from .rates import RateEstimate, WindowedRate
 from .tenant_bucket import TenantBucket
-from .tenant_usage import COORDINATOR_TIMEOUT_S, FALLBACK_FACTOR, RESERVATION_S
+from .tenant_usage import (
+    COORDINATOR_TIMEOUT_S,
+    FALLBACK_FACTOR,
+    RESERVATION_S,
+    START_GRACE_S,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Hashable, Mapping
@@ -192,6 +197,9 @@
         self.children: dict[Hashable, Child] = {}
         self.domains: frozenset[str] = frozenset((failure_domain,))
         self.root_heard_at = now
+        self._started_at = now
+        # Whether this coordinator has been the root, or has heard of one.
+        self._has_known_root = False
         self._failure_domain = failure_domain
         self._role_since = now
         self._updated_at = now
@@ -223,9 +231,10 @@
         self.domains = domains | {self._failure_domain}
 
     def lead(self, now: float) -> None:
-        """Becomes the root, with empty buckets."""
+        """Becomes the root, with buckets that hold little more than nothing."""
         if self.role is Role.ROOT:
             return
+        self._has_known_root = True
         self._set_role(Role.ROOT, now)
         self._inherited = {
             name for name, fraction in self.fractions.items() if fraction < 1
@@ -240,7 +249,9 @@
             # was the root shortly before.
             for instance, usage in state.remote.items():
                 usage.resume(children.get(instance, {}).get(name))
-            state.bucket = TenantBucket(state.limit, now, min(0.0, state.bucket.level))
+            # The margin keeps single requests of small tenants from being refused.
+            level = min(state.limit.margin, state.bucket.level)
+            state.bucket = TenantBucket(state.limit, now, level)
 
     def follow(self, now: float) -> None:
         """Is no root from now on."""
@@ -312,6 +323,7 @@
     def record_root_heartbeat(self, now: float) -> None:
         """Records a message of the root that changes no fraction."""
         self.root_heard_at = now
+        self._has_known_root = True
         if self.role is Role.ORPHAN:
             self._set_role(Role.DOMAIN, now)
             for state in self.tenants.values():
@@ -326,10 +338,8 @@
         self._assume_silent(elapsed_s, now)
         for state in self.tenants.values():
             state.sample(elapsed_s, now)
-        if (
-            self.role is Role.DOMAIN
-            and now - self.root_heard_at > COORDINATOR_TIMEOUT_S
-        ):
+        timeout_s = COORDINATOR_TIMEOUT_S if self._has_known_root else START_GRACE_S
+        if self.role is Role.DOMAIN and now - self.root_heard_at > timeout_s:
             self._set_role(Role.ORPHAN, now)
         if self.role is not Role.DOMAIN:
             self._derive_all(now)
@@ -516,9 +526,13 @@
         """Limits the domain to the rate that it admitted before it lost the root."""
         share = 1 / len(self.domains)
         if state.fallback is None:
-            rate = state.window_rate.get(self.root_heard_at) * FALLBACK_FACTOR
+            rate, excess = state.limit.rate_per_s * share, 0.0
+            # Soon after a start there are not enough requests to go by.
+            if now - self._started_at >= WINDOW_S:
+                heard_at = self.root_heard_at
+                rate = state.window_rate.get(heard_at) * FALLBACK_FACTOR
+                excess = state.window_rate.get_excess(heard_at, now, rate)
             limit = QuotaLimit(min(rate, state.limit.rate_per_s), 0.0)
-            excess = state.window_rate.get_excess(self.root_heard_at, now, rate)
             level = state.limit.margin * share - excess
             state.fallback = TenantBucket(limit, now, level)
             state.take_unbilled()
--- a/src/verbenacross/quotas/tenant_quotas.py
+++ b/src/verbenacross/quotas/tenant_quotas.py
@@ -75,9 +75,11 @@
             "root", own.instance, self._create_root_link, self._handle_root_message
         )
 
-    def admit(self, tenant: Tenant, now: float) -> float | None:
+    def admit(
+        self, tenant: Tenant, now: float, *, is_repeat: bool = False
+    ) -> float | None:
         """Admits a request; returns after how many seconds to retry if it does not."""
-        return self._usage.admit(tenant.name, now)
+        return self._usage.admit(tenant.name, now, is_repeat=is_repeat)
 
     def refund(self, tenant: Tenant, now: float) -> None:
         """Returns the credit of an admitted request that did not run."""
--- a/src/verbenacross/quotas/tenant_usage.py
+++ b/src/verbenacross/quotas/tenant_usage.py
@@ -27,7 +27,11 @@
 # Excess over the previous rate that the bound allows to instances on their own.
 FALLBACK_FACTOR = 1.0
 MIN_RETRY_AFTER_S = 0.2
-MAX_RETRY_AFTER_S = 5.0
+MAX_RETRY_AFTER_S = 10.0
+# A request of a caller that returns needs this much more credit than a first one. Over
+# the quota, a first one can still be answered in time, and as many are admitted.
+RETURN_CREDIT = 1.0
+MAX_CREDIT = 3.0
 
 
 class TenantUsage:
@@ -52,7 +56,7 @@
             self.fraction is not None and self.fraction < 1
         )
 
-    def admit(self, now: float) -> float | None:
+    def admit(self, now: float, *, is_repeat: bool = False) -> float | None:
         """Admits a request; returns after how many seconds to retry if it does not."""
         self.demand += 1
         if self._fallback_rate is not None:
@@ -61,8 +65,8 @@
             self._record_admission(1, now)
             return None
         else:
-            self._credit += self.fraction
-        if self._credit >= 1:
+            self._credit = min(MAX_CREDIT, self._credit + self.fraction)
+        if self._credit >= 1 + RETURN_CREDIT * is_repeat:
             self._credit -= 1
             self._record_admission(1, now)
             return None
@@ -109,7 +113,9 @@
         if self._fallback_rate is not None:
             delay_s = (1 - self._credit) / max(self._fallback_rate, 1e-3)
         else:
-            delay_s = 1 / (self.fraction or 1.0) - 1
+            # The requests that were refused in a window need this time beside the
+            # others. Callers that return sooner only take the place of later ones.
+            delay_s = (1 / (self.fraction or 1.0) - 1) * WINDOW_S
         jitter = self._generator.uniform(0.8, 1.2)
         return min(max(delay_s * jitter, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
 
@@ -140,7 +146,9 @@
                 usage.limit = limit
                 usage.limit_fallback(limit.rate_per_s)
 
-    def admit(self, tenant: str, now: float) -> float | None:
+    def admit(
+        self, tenant: str, now: float, *, is_repeat: bool = False
+    ) -> float | None:
         """Admits a request; returns after how many seconds to retry if it does not."""
         usage = self.tenants.get(tenant)
         if usage is None:
@@ -149,7 +157,7 @@
             usage.end_fallback()
         else:
             self._start_fallback(usage, now)
-        return usage.admit(now)
+        return usage.admit(now, is_repeat=is_repeat)
 
     def refund(self, tenant: str, now: float) -> None:
         """Returns the credit of an admitted request that did not run."""
@@ -195,7 +203,8 @@
                 usage.limit_fallback(share)
             return
         rate, excess = share, 0.0
-        if self.heard_at is not None:
+        # Soon after a start there are not enough requests to go by.
+        if self.heard_at is not None and now - self._started_at >= WINDOW_S:
             rate = usage.admitted_rate.get(self.heard_at) * FALLBACK_FACTOR
             # What a jump of the demand got before the loss was noticed is made up for.
             excess = usage.admitted_rate.get_excess(self.heard_at, now, rate)
--- a/src/verbenacross/tenants/quota_gate.py
+++ b/src/verbenacross/tenants/quota_gate.py
@@ -14,8 +14,13 @@
     Times are those of the event loop.
     """
 
-    def admit(self, tenant: Tenant, now: float) -> float | None:
-        """Admits a request; returns after how many seconds to retry if it does not."""
+    def admit(
+        self, tenant: Tenant, now: float, *, is_repeat: bool = False
+    ) -> float | None:
+        """Admits a request; returns after how many seconds to retry if it does not.
+
+        ``is_repeat`` states that the caller has probably been refused before.
+        """
 
     def refund(self, tenant: Tenant, now: float) -> None:
         """Returns the credit of an admitted request that did not run."""
@@ -24,7 +29,9 @@
 class UnlimitedQuotaGate:
     """Admits all requests; used where no tenant has a quota."""
 
-    def admit(self, tenant: Tenant, now: float) -> float | None:
+    def admit(
+        self, tenant: Tenant, now: float, *, is_repeat: bool = False
+    ) -> float | None:
         """Admits the request."""
         return None
 
