--- a/src/verbenacross/tenants/tenant.py
+++ b/src/verbenacross/customers/customer.py
@@ -1,12 +1,12 @@
-"""A tenant of the deployment."""
+"""A customer of the deployment."""
 
 from __future__ import annotations
 
 from typing import NamedTuple
 
 
-class Tenant(NamedTuple):
-    """A tenant and its limits over all instances together.
+class Customer(NamedTuple):
+    """A customer and its limits over all instances together.
 
     ``priority`` replaces that of the route, ``None`` keeps it. ``rate_per_s`` is in
     requests per second, ``burst`` in requests; a rate of 0 means no limit.
--- a/src/verbenacross/tenants/tenant_table.py
+++ b/src/verbenacross/customers/customer_table.py
@@ -1,4 +1,4 @@
-"""Tenants of one configuration version by their API keys."""
+"""Customers of one configuration version by their API keys."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from .tenant import Tenant
+    from .customer import Customer
 
 # Longer keys are not hashed: no key of a configuration is as long.
 MAX_KEY_CHARACTERS = 1_024
@@ -19,29 +19,31 @@
 HASH_SECRET = secrets.token_bytes(hashlib.blake2b.MAX_KEY_SIZE)
 
 
-class TenantTable:
-    """Tenants of one configuration version by their API keys.
+class CustomerTable:
+    """Customers of one configuration version by their API keys.
 
     Keeps keyed hashes of the keys only. A look-up takes the same time for any number of
     keys, and its duration does not depend on how much of a key is right.
     """
 
-    def __init__(self, tenants_by_key: Mapping[str, Tenant]) -> None:
-        self._tenants = {
-            compute_digest(key): tenant for key, tenant in tenants_by_key.items()
+    def __init__(self, customers_by_key: Mapping[str, Customer]) -> None:
+        self._by_digest = {
+            compute_digest(key): customer for key, customer in customers_by_key.items()
+        }
+        self.by_name = {
+            customer.name: customer for customer in customers_by_key.values()
         }
-        self.tenants = {tenant.name: tenant for tenant in tenants_by_key.values()}
 
     @property
     def key_count(self) -> int:
         """Number of API keys."""
-        return len(self._tenants)
+        return len(self._by_digest)
 
-    def find(self, key: str) -> Tenant | None:
-        """Returns the tenant that holds a key, ``None`` if no tenant does."""
+    def find(self, key: str) -> Customer | None:
+        """Returns the customer that holds a key, ``None`` if no customer does."""
         if not key or len(key) > MAX_KEY_CHARACTERS:
             return None
-        return self._tenants.get(compute_digest(key))
+        return self._by_digest.get(compute_digest(key))
 
 
 def compute_digest(key: str) -> bytes:
--- a/src/verbenacross/node/tenant_admission.py
+++ b/src/verbenacross/node/customer_admission.py
@@ -1,4 +1,4 @@
-"""Identifies the tenant of a request by its API key and checks the tenant's quota."""
+"""Identifies the customer of a request by its API key and checks its quota."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 
     from aiohttp import web
 
+    from ..customers.customer import Customer
+    from ..customers.quota_gate import QuotaGate
     from ..routes.route import Route
     from ..routes.route_table import RouteTable
-    from ..tenants.quota_gate import QuotaGate
-    from ..tenants.tenant import Tenant
 
 # Retry-After for an unknown key while the configuration may be out of date, in seconds:
 # the retry may reach another instance, which has the current one.
@@ -26,9 +26,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
-    """The request may be sent; ``tenant`` is ``None`` where no key is needed."""
+    """The request may be sent; ``customer`` is ``None`` where no key is needed."""
 
-    tenant: Tenant | None
+    customer: Customer | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,9 +45,9 @@
 
 @dataclass(frozen=True, slots=True)
 class OverQuota:
-    """The tenant has used up its quota."""
+    """The customer has used up its quota."""
 
-    tenant: Tenant
+    customer: Customer
     retry_after_s: float
 
 
@@ -61,8 +61,8 @@
 AdmissionResult = Admitted | Unauthorized | Unverified | OverQuota
 
 
-class TenantAdmission:
-    """Identifies the tenants of requests and checks their quotas.
+class CustomerAdmission:
+    """Identifies the customers of requests and checks their quotas.
 
     ``get_staleness_s`` returns for how many seconds the configuration has not been
     confirmed by any source, 0 while it is current. Known keys are accepted for
@@ -92,36 +92,36 @@
         remaining_s: float | None,
         now: float,
     ) -> AdmissionResult:
-        """Identifies the tenant and takes a credit of its quota.
+        """Identifies the customer and takes a credit of its quota.
 
         The caller waits for ``remaining_s``. An admitted request is handled within
         ``hold_credit``.
         """
-        if table.tenants is None or route.is_public:
+        if table.customers is None or route.is_public:
             return Admitted(None)
         keys = request.headers.getall(API_KEY, ())
-        tenant = table.tenants.find(keys[0]) if len(keys) == 1 else None
+        customer = table.customers.find(keys[0]) if len(keys) == 1 else None
         staleness_s = self._get_staleness_s()
-        if tenant is None:
+        if customer is None:
             if staleness_s > 0 and len(keys) == 1:
                 return Unverified(STALE_RETRY_AFTER_S)
             return Unauthorized()
         if 0 < self.revocation_timeout_s < staleness_s:
             return Unverified(STALE_RETRY_AFTER_S)
         is_repeat = self._repeats.is_repeat(route.key, remaining_s, now)
-        retry_after_s = self._quotas.admit(tenant, now, is_repeat=is_repeat)
+        retry_after_s = self._quotas.admit(customer, now, is_repeat=is_repeat)
         if retry_after_s is not None:
-            return OverQuota(tenant, retry_after_s)
-        return Admitted(tenant)
+            return OverQuota(customer, retry_after_s)
+        return Admitted(customer)
 
     @contextmanager
     def hold_credit(
-        self, tenant: Tenant | None, get_time: Callable[[], float]
+        self, customer: Customer | None, get_time: Callable[[], float]
     ) -> Iterator[QuotaCredit]:
         """Returns the credit of an admitted request on exit unless it is used."""
         credit = QuotaCredit()
         try:
             yield credit
         finally:
-            if tenant is not None and not credit.is_used:
-                self._quotas.refund(tenant, get_time())
+            if customer is not None and not credit.is_used:
+                self._quotas.refund(customer, get_time())
--- a/src/verbenacross/node/discovery_state.py
+++ b/src/verbenacross/node/discovery_state.py
@@ -148,7 +148,7 @@
                 "version": table.version,
                 "revision": table.revision,
                 "routes": len(table.routes),
-                "tenants": len(table.tenants.tenants) if table.tenants else 0,
+                "customers": len(table.customers.by_name) if table.customers else 0,
                 "source": source,
             },
         )
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -20,8 +20,8 @@
 from ..feed.synchronizer import Synchronizer
 from ..platform.records import NODE_PREFIX, WATCHED_PREFIX, decode_change
 from ..platform.store import PlatformStore
+from ..quotas.customer_quotas import CustomerQuotas
 from ..quotas.quota_link import QUOTAS_PATH
-from ..quotas.tenant_quotas import TenantQuotas
 from ..routes.destination_selector import DestinationSelector
 from ..transport.buffer_budget import BufferBudget
 from ..transport.caller_server import CLOSE_TIMEOUT_S, CallerServer
@@ -29,6 +29,7 @@
 from ..transport.upstream_client import AUTOMATIC_HEADERS, UpstreamClient
 from .balancer_registry import BalancerRegistry
 from .caller_connections import CallerConnections
+from .customer_admission import CustomerAdmission
 from .discovery_state import DiscoveryState
 from .monitoring_servers import serve_metrics, serve_readiness
 from .node_metrics import NodeMetrics
@@ -36,7 +37,6 @@
 from .request_handler import RequestHandler
 from .settings_watcher import SettingsWatcher
 from .shutdown import Shutdown
-from .tenant_admission import TenantAdmission
 from .upstream_prober import UpstreamProber
 
 if TYPE_CHECKING:
@@ -109,12 +109,12 @@
         self.buffers = BufferBudget(
             int(settings.memory_mb * BYTES_PER_MB * BUFFER_SHARE)
         )
-        self.quotas = TenantQuotas(
+        self.quotas = CustomerQuotas(
             member, self.discovery.get_members, self.discovery.count_instances
         )
         self.publisher.handlers[QUOTAS_PATH] = self.quotas.handle_connection
         self.discovery.table_changes.subscribe(self.quotas.apply_table)
-        self.admission = TenantAdmission(
+        self.admission = CustomerAdmission(
             self.synchronizer.get_staleness_s,
             self.quotas,
             settings.revocation_timeout_s,
@@ -235,6 +235,7 @@
     def refresh_metrics(self) -> Registry:
         """Updates the gauges and returns the registry."""
         table = self.discovery.table
+        customers = table.customers if table else None
         for name, value in (
             ("ready", self.is_ready()),
             ("in_flight", self.shutdown.drain.in_flight),
@@ -244,8 +245,8 @@
             ("subscribers", self.publisher.subscriber_count),
             ("is_fresh", self.synchronizer.is_fresh()),
             ("configuration_version", table.version if table else 0),
-            ("tenants", len(table.tenants.tenants) if table and table.tenants else 0),
-            ("tenant_keys", table.tenants.key_count if table and table.tenants else 0),
+            ("customers", len(customers.by_name) if customers else 0),
+            ("customer_keys", customers.key_count if customers else 0),
             ("instances", self.balancers.instance_count),
             ("waiting", self.balancers.count_waiting()),
             ("probes", self.balancers.count_probes()),
--- a/src/verbenacross/node/node_metrics.py
+++ b/src/verbenacross/node/node_metrics.py
@@ -38,12 +38,12 @@
         )
         self._over_quota = Counter(
             "verbenacross_over_quota_total",
-            "Requests refused because the tenant has used up its quota",
+            "Requests refused because the customer has used up its quota",
             registry=self.registry,
         )
         self._quota_fractions = Gauge(
             "verbenacross_quota_fraction",
-            "Share of the requests of a tenant with a quota that is admitted",
+            "Share of the requests of a customer with a quota that is admitted",
             registry=self.registry,
         )
         self._reserved_kinds: set[tuple[str, str]] = set()
@@ -92,14 +92,14 @@
         """Records a request that was refused before an upstream was chosen."""
         self._refusals.inc({"problem": problem})
 
-    def record_over_quota(self, tenant: str) -> None:
-        """Records a request that was refused because of its tenant's quota."""
-        self._over_quota.inc({"tenant": tenant})
+    def record_over_quota(self, customer: str) -> None:
+        """Records a request that was refused because of its customer's quota."""
+        self._over_quota.inc({"customer": customer})
 
     def set_quota_fractions(self, fractions: dict[str, float]) -> None:
-        """Sets the admitted fractions of the tenants that have a quota."""
-        for tenant, fraction in fractions.items():
-            self._quota_fractions.set({"tenant": tenant}, fraction)
+        """Sets the admitted fractions of the customers that have a quota."""
+        for customer, fraction in fractions.items():
+            self._quota_fractions.set({"customer": customer}, fraction)
 
     def set_hedge_counts(self, service: str, counts: HedgeCounts) -> None:
         """Sets how many second attempts were sent, won and not sent."""
--- a/src/verbenacross/node/proxied_request.py
+++ b/src/verbenacross/node/proxied_request.py
@@ -13,7 +13,7 @@
 from ..balancing.exceptions import BalancingError
 from ..balancing.outcome import Abandoned
 from ..hedging.attempt_race import AttemptRace
-from ..platform.headers import API_KEY, TENANT
+from ..platform.headers import API_KEY, CUSTOMER
 from ..transport.exceptions import (
     SlowCallerError,
     StreamLimitError,
@@ -50,9 +50,9 @@
     from ..balancing.service_balancer import ServiceBalancer
     from ..balancing.tracked_upstream import TrackedUpstream
     from ..balancing.windowed_retry_budget import WindowedRetryBudget
+    from ..customers.customer import Customer
     from ..hedging.hedge_policy import HedgePolicy
     from ..routes.route import Route
-    from ..tenants.tenant import Tenant
     from ..transport.buffer_budget import BufferReservation
     from ..transport.request_body import RequestBody
     from ..transport.upstream_client import UpstreamClient
@@ -133,12 +133,12 @@
         self._hedge_policy = policy
         self._is_stopping = is_stopping
 
-    def set_tenant(self, tenant: Tenant | None) -> None:
-        """Replaces the API key by the name of the tenant in what upstreams receive."""
+    def set_customer(self, customer: Customer | None) -> None:
+        """Replaces the API key by the customer's name in what upstreams receive."""
         self._headers.popall(API_KEY, None)
-        self._headers.popall(TENANT, None)
-        if tenant is not None:
-            self._headers[TENANT] = tenant.name
+        self._headers.popall(CUSTOMER, None)
+        if customer is not None:
+            self._headers[CUSTOMER] = customer.name
 
     async def run(self) -> web.StreamResponse:
         """Proxies the request and returns the response, sent already if streamed.
--- a/src/verbenacross/node/request_handler.py
+++ b/src/verbenacross/node/request_handler.py
@@ -16,22 +16,22 @@
 from ..transport.request_ahead import wait_turn
 from ..transport.request_body import RequestBody
 from ..transport.request_target import RequestTarget
+from .customer_admission import Admitted, OverQuota, Unauthorized, Unverified
 from .problem_response import build_problem_response
 from .proxied_request import ProxiedRequest
-from .tenant_admission import Admitted, OverQuota, Unauthorized, Unverified
 
 if TYPE_CHECKING:
+    from ..customers.customer import Customer
     from ..routes.route import Route
     from ..routes.route_table import RouteTable
-    from ..tenants.tenant import Tenant
     from ..transport.buffer_budget import BufferBudget, BufferReservation
     from ..transport.upstream_client import UpstreamClient
     from .balancer_registry import BalancerRegistry
     from .caller_connections import CallerConnections
+    from .customer_admission import CustomerAdmission, QuotaCredit
     from .discovery_state import DiscoveryState
     from .node_metrics import NodeMetrics
     from .shutdown import Shutdown
-    from .tenant_admission import QuotaCredit, TenantAdmission
 
 MS_PER_S = 1_000
 HTTP_SERVER_ERROR = 500
@@ -68,7 +68,7 @@
         destinations: DestinationSelector,
         max_in_flight: int,
         buffers: BufferBudget,
-        admission: TenantAdmission,
+        admission: CustomerAdmission,
     ) -> None:
         self._discovery = discovery
         self._balancers = balancers
@@ -151,21 +151,21 @@
                 return self._refuse(
                     503, "key-not-verified", request_id, arrived, retry_after_s
                 )
-            case OverQuota(tenant, retry_after_s):
-                self._metrics.record_over_quota(tenant.name)
+            case OverQuota(customer, retry_after_s):
+                self._metrics.record_over_quota(customer.name)
                 return self._refuse(
                     429, "over-quota", request_id, arrived, retry_after_s
                 )
-            case Admitted(tenant):
+            case Admitted(customer):
                 pass
-        with self._admission.hold_credit(tenant, self._loop.time) as credit:
+        with self._admission.hold_credit(customer, self._loop.time) as credit:
             if not route.idempotent:
                 # A caller repeats what it sent behind a response that closes the
                 # connection.
                 await wait_turn(request)
             path = target.path_and_query
             return await self._proxy(
-                request, path, request_id, arrived, table, route, tenant, credit, held
+                request, path, request_id, arrived, table, route, customer, credit, held
             )
 
     async def _wait_until_loaded(self, request: web.BaseRequest) -> RouteTable | None:
@@ -188,7 +188,7 @@
         arrived: float,
         table: RouteTable,
         route: Route,
-        tenant: Tenant | None,
+        customer: Customer | None,
         credit: QuotaCredit,
         held: BufferReservation,
     ) -> web.StreamResponse:
@@ -211,8 +211,8 @@
             return self._refuse_while_stopping(request_id, arrived)
         service = self._destinations.select(route)
         priority = route.priority
-        if tenant is not None and tenant.priority is not None:
-            priority = tenant.priority
+        if customer is not None and customer.priority is not None:
+            priority = customer.priority
         context = BalancingContext(
             request_id=request_id,
             request_kind=route.name,
@@ -233,8 +233,8 @@
             self._balancers.instance_count,
             held,
         )
-        if table.tenants is not None:
-            proxied.set_tenant(tenant)
+        if table.customers is not None:
+            proxied.set_customer(customer)
         hedge_policy = self._balancers.get_hedge_policy(service)
         if hedge_policy.is_enabled:
             proxied.enable_hedging(hedge_policy, self._shutdown.started.is_set)
@@ -256,7 +256,7 @@
             {
                 "route": route.name,
                 "service": service,
-                "tenant": tenant.name if tenant is not None else None,
+                "customer": customer.name if customer is not None else None,
                 "version": table.version,
                 "status": response.status,
                 "upstream": proxied.upstream,
--- a/src/verbenacross/platform/configuration.py
+++ b/src/verbenacross/platform/configuration.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from ..customers.customer import Customer
+from ..customers.customer_table import CustomerTable
 from ..documents.fields import Document
 from ..routes.caller_limits import CallerLimits
 from ..routes.route import Route, WeightedService
 from ..routes.route_table import RouteTable
 from ..routes.service import Service
-from ..tenants.tenant import Tenant
-from ..tenants.tenant_table import TenantTable
 
 if TYPE_CHECKING:
     from ..documents.fields import Fields
@@ -45,7 +45,7 @@
         limits=decode_limits(root.get_object("limits")),
         routes=routes,
         services=services,
-        tenants=decode_tenants(root) if root.has("tenants") else None,
+        customers=decode_customers(root) if root.has("tenants") else None,
     )
     document.finish()
     return table
@@ -94,16 +94,16 @@
     return destinations
 
 
-def decode_tenants(root: Fields) -> TenantTable:
-    """Decodes the tenants; findings name the places of keys, never the keys."""
-    tenants_by_key: dict[str, Tenant] = {}
+def decode_customers(root: Fields) -> CustomerTable:
+    """Decodes the customers; findings name the places of keys, never the keys."""
+    customers_by_key: dict[str, Customer] = {}
     places: dict[str, str] = {}
     names: set[str] = set()
     for index, fields in enumerate(root.get_objects("tenants")):
-        tenant = decode_tenant(fields)
-        if tenant.name in names:
-            fields.add_finding("name", f"tenant {tenant.name!r} is defined twice")
-        names.add(tenant.name)
+        customer = decode_customer(fields)
+        if customer.name in names:
+            fields.add_finding("name", f"customer {customer.name!r} is defined twice")
+        names.add(customer.name)
         for position, key in enumerate(fields.get_strings("api_keys")):
             place = f"$.tenants[{index}].api_keys[{position}]"
             if not key:
@@ -112,17 +112,17 @@
                 message = f"the key at {place} is also at {places[key]}"
                 fields.add_finding("api_keys", message)
             places.setdefault(key, place)
-            tenants_by_key.setdefault(key, tenant)
-    return TenantTable(tenants_by_key)
+            customers_by_key.setdefault(key, customer)
+    return CustomerTable(customers_by_key)
 
 
-def decode_tenant(fields: Fields) -> Tenant:
-    """Decodes a tenant without its keys."""
+def decode_customer(fields: Fields) -> Customer:
+    """Decodes a customer without its keys."""
     name = fields.get_string("name")
     if not (name.isascii() and name.isprintable()):
         # The name is sent to upstreams in a header.
         fields.add_finding("name", "must consist of printable ASCII characters")
-    return Tenant(
+    return Customer(
         name=name,
         priority=fields.get_int("priority", 0) if fields.has("priority") else None,
         rate_per_s=fields.get_number("rate_per_s", 0.0, default=0.0),
--- a/src/verbenacross/platform/headers.py
+++ b/src/verbenacross/platform/headers.py
@@ -19,10 +19,10 @@
 REMAINING_TIME = "X-Deadline-Ms"
 # Only the upstream with this id may run the request; any other responds with 421.
 TARGET_UPSTREAM = "X-Target-Instance"
-# API key of a caller, which no upstream receives, and the name of its tenant, which the
-# upstream receives instead.
+# API key of a caller, which no upstream receives, and the name of its customer, which
+# the upstream receives instead.
 API_KEY = "X-Api-Key"
-TENANT = "X-Tenant-Id"
+CUSTOMER = "X-Tenant-Id"
 # Present on responses that state that the upstream did not run the request.
 NOT_RUN = "X-Not-Executed"
 # Set by upstreams on every response to a request that ran.
--- a/src/verbenacross/quotas/__init__.py
+++ b/src/verbenacross/quotas/__init__.py
@@ -1,1 +1,1 @@
-"""Quotas of tenants over all instances."""
+"""Quotas of customers over all instances."""
--- a/src/verbenacross/quotas/codec.py
+++ b/src/verbenacross/quotas/codec.py
@@ -11,7 +11,7 @@
 import cbor2
 
 from .exceptions import QuotaError
-from .messages import Fractions, Heartbeat, Hello, Message, Report, TenantCount
+from .messages import CustomerCount, Fractions, Heartbeat, Hello, Message, Report
 
 FRACTION_SCALE = 1_000_000
 RATE_SCALE = 100
@@ -28,8 +28,8 @@
             parts = [REPORT, sequence, *(encode_count(count) for count in counts)]
         case Fractions(version, fractions):
             scaled = {
-                tenant: max(1, round(fraction * FRACTION_SCALE))
-                for tenant, fraction in fractions.items()
+                customer: max(1, round(fraction * FRACTION_SCALE))
+                for customer, fraction in fractions.items()
             }
             parts = [FRACTIONS, version, scaled]
         case Heartbeat(version):
@@ -57,27 +57,27 @@
     raise QuotaError("unknown message type or malformed fields")
 
 
-def encode_count(count: TenantCount) -> list[Any]:
-    """Returns the fields of a tenant's counts, without rates that are 0."""
+def encode_count(count: CustomerCount) -> list[Any]:
+    """Returns the fields of a customer's counts, without rates that are 0."""
     rates = (count.demand_per_s, count.admitted_per_s)
     scaled = [round(rate * RATE_SCALE) for rate in rates] if any(rates) else []
-    return [count.tenant, count.demand, count.admitted, *scaled]
+    return [count.customer, count.demand, count.admitted, *scaled]
 
 
-def decode_count(parts: Any) -> TenantCount:
-    """Decodes a tenant's counts; raises ``QuotaError`` when they are malformed."""
+def decode_count(parts: Any) -> CustomerCount:
+    """Decodes a customer's counts; raises ``QuotaError`` when they are malformed."""
     match parts:
-        case [str(tenant), int(demand), int(admitted)]:
-            return TenantCount(tenant, demand, admitted)
-        case [str(tenant), int(demand), int(admitted), int(offered), int(passed)]:
+        case [str(customer), int(demand), int(admitted)]:
+            return CustomerCount(customer, demand, admitted)
+        case [str(customer), int(demand), int(admitted), int(offered), int(passed)]:
             rates = max(0, offered) / RATE_SCALE, max(0, passed) / RATE_SCALE
-            return TenantCount(tenant, demand, admitted, *rates)
-    raise QuotaError("malformed counts of a tenant")
+            return CustomerCount(customer, demand, admitted, *rates)
+    raise QuotaError("malformed counts of a customer")
 
 
 def decode_fraction(item: Any) -> tuple[str, float]:
-    """Decodes a tenant's fraction; raises ``QuotaError`` when it is malformed."""
+    """Decodes a customer's fraction; raises ``QuotaError`` when it is malformed."""
     match item:
-        case (str(tenant), int(scaled)) if 0 < scaled <= FRACTION_SCALE:
-            return tenant, scaled / FRACTION_SCALE
-    raise QuotaError("malformed fraction of a tenant")
+        case (str(customer), int(scaled)) if 0 < scaled <= FRACTION_SCALE:
+            return customer, scaled / FRACTION_SCALE
+    raise QuotaError("malformed fraction of a customer")
--- a/src/verbenacross/quotas/tenant_bucket.py
+++ b/src/verbenacross/quotas/customer_bucket.py
@@ -1,4 +1,4 @@
-"""Token bucket from whose level the admitted fraction of a tenant is derived."""
+"""Token bucket from whose level the admitted fraction of a customer is derived."""
 
 from __future__ import annotations
 
@@ -17,8 +17,8 @@
 MIN_RATE_SHARE = 0.05
 # A fraction ends once the demand is below the admitted rate by this factor.
 RELEASE_FACTOR = 1.05
-# Domains report a tenant whatever its demand in them once the total exceeds this share
-# of the limit: the sum of unreported demand may be as much as half of the limit.
+# Domains report a customer whatever its demand in them once the total exceeds this
+# share of the limit: the sum of unreported demand may be as much as half of the limit.
 # Smaller limits need no such reports, as the slack of the bound covers the unreported
 # demand; so does it for the constant part of the thresholds, in requests per second.
 WATCH_SHARE = 0.7
@@ -28,8 +28,8 @@
 MIN_FRACTION = 1e-6
 
 
-class TenantBucket:
-    """Token bucket over the admitted requests of a tenant; its level may be negative.
+class CustomerBucket:
+    """Token bucket over the admitted requests of a customer; its level may be negative.
 
     Starts with ``level`` tokens.
     """
@@ -68,7 +68,7 @@
         """Returns the fraction to admit of a demand, ``None`` if it is well within.
 
         ``reserved_per_s`` are requests beside the demand that no fraction reaches.
-        1 means that all requests are admitted and all domains report the tenant.
+        1 means that all requests are admitted and all domains report the customer.
         """
         rate = self.limit.rate_per_s
         target = max(
--- a/src/verbenacross/quotas/tenant_quotas.py
+++ b/src/verbenacross/quotas/customer_quotas.py
@@ -1,4 +1,4 @@
-"""Enforces the quotas of tenants over all instances."""
+"""Enforces the quotas of customers over all instances."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 import logbook
 
 from .coordinator_choice import list_coordinators, list_roots
+from .customer_usage import InstanceUsage, UsageReporter
 from .exceptions import QuotaError
 from .link_selector import LinkSelector
 from .messages import Fractions, Heartbeat, Hello
@@ -16,16 +17,15 @@
 from .quota_limit import get_limits
 from .quota_link import QuotaLink
 from .quota_server import QuotaServer
-from .tenant_usage import InstanceUsage, UsageReporter
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from websockets.asyncio.server import ServerConnection
 
+    from ..customers.customer import Customer
     from ..feed.members import Member
     from ..routes.route_table import RouteTable
-    from ..tenants.tenant import Tenant
     from .link_selector import MessageHandler
     from .quota_limit import QuotaLimit
 
@@ -37,11 +37,11 @@
 logger = logbook.Logger("verbenacross.quotas")
 
 
-class TenantQuotas:
-    """Admits requests of tenants within their limits over all instances.
+class CustomerQuotas:
+    """Admits requests of customers within their limits over all instances.
 
-    Opens no link and does no work while no tenant has a limit. The instance reports to
-    the coordinator of its failure domain, or is that coordinator and reports to the
+    Opens no link and does no work while no customer has a limit. The instance reports
+    to the coordinator of its failure domain, or is that coordinator and reports to the
     root, or is the root.
     """
 
@@ -76,14 +76,14 @@
         )
 
     def admit(
-        self, tenant: Tenant, now: float, *, is_repeat: bool = False
+        self, customer: Customer, now: float, *, is_repeat: bool = False
     ) -> float | None:
         """Admits a request; returns after how many seconds to retry if it does not."""
-        return self._usage.admit(tenant.name, now, is_repeat=is_repeat)
+        return self._usage.admit(customer.name, now, is_repeat=is_repeat)
 
-    def refund(self, tenant: Tenant, now: float) -> None:
+    def refund(self, customer: Customer, now: float) -> None:
         """Returns the credit of an admitted request that did not run."""
-        self._usage.refund(tenant.name, now)
+        self._usage.refund(customer.name, now)
 
     def apply_table(self, table: RouteTable) -> None:
         """Applies the limits of a configuration."""
@@ -96,7 +96,7 @@
             self._usage = InstanceUsage(self._generator, now)
         self._limits = limits
         self._usage.set_limits(limits)
-        logger.info("quotas changed", extra={"tenants": len(limits)})
+        logger.info("quotas changed", extra={"customers": len(limits)})
         if self._coordinator is not None:
             self._coordinator.set_limits(limits, now)
             self.server.notify_children()
@@ -111,7 +111,7 @@
         await self.server.handle(connection)
 
     async def run(self) -> None:
-        """Exchanges usage and fractions while some tenant has a limit."""
+        """Exchanges usage and fractions while some customer has a limit."""
         try:
             while True:
                 await self._has_limits.wait()
@@ -132,8 +132,8 @@
         coordinator = self._coordinator
         is_root = coordinator is not None and coordinator.role is Role.ROOT
         return {
-            "quota_tenants": float(len(self._limits)),
-            "quota_tenants_limited": float(len(self._limited)),
+            "quota_customers": float(len(self._limits)),
+            "quota_customers_limited": float(len(self._limited)),
             "quota_has_coordinator": float(self._usage.has_coordinator(now)),
             "quota_coordinator_age_s": now - heard_at if heard_at is not None else 0.0,
             "quota_is_coordinator": float(coordinator is not None),
@@ -146,10 +146,10 @@
         }
 
     def get_fractions(self) -> dict[str, float]:
-        """Returns the fraction of each tenant that has a limit."""
+        """Returns the fraction of each customer that has a limit."""
         return {
             name: 1.0 if usage.fraction is None else usage.fraction
-            for name, usage in self._usage.tenants.items()
+            for name, usage in self._usage.customers.items()
         }
 
     def describe(self) -> dict[str, Any]:
@@ -167,7 +167,8 @@
                 None if usage.heard_at is None else round(now - usage.heard_at, 3)
             ),
             "limited": {
-                name: self._describe_tenant(name, now) for name in sorted(self._limited)
+                name: self._describe_customer(name, now)
+                for name in sorted(self._limited)
             },
             "children": coordinator.describe_children(now) if coordinator else [],
             "missing_domains": (
@@ -177,8 +178,8 @@
             ),
         }
 
-    def _describe_tenant(self, name: str, now: float) -> dict[str, Any]:
-        usage = self._usage.tenants.get(name)
+    def _describe_customer(self, name: str, now: float) -> dict[str, Any]:
+        usage = self._usage.customers.get(name)
         if usage is None:
             return {}
         described: dict[str, Any] = {
@@ -190,7 +191,7 @@
             "admitted": usage.admitted,
             "admitted_per_s": round(usage.admitted_rate.get(now), 2),
         }
-        state = self._coordinator.tenants.get(name) if self._coordinator else None
+        state = self._coordinator.customers.get(name) if self._coordinator else None
         if state is not None:
             described["domain"] = {
                 "demand_per_s": round(state.demand_rate.per_s, 1),
@@ -253,7 +254,7 @@
         coordinator.receive_fractions(
             {
                 name: usage.fraction
-                for name, usage in self._usage.tenants.items()
+                for name, usage in self._usage.customers.items()
                 if usage.fraction is not None
             },
             now,
@@ -347,11 +348,11 @@
 
     def _log_limited(self) -> None:
         limited = {
-            name for name, usage in self._usage.tenants.items() if usage.is_limited
+            name for name, usage in self._usage.customers.items() if usage.is_limited
         }
         for name in sorted(limited - self._limited):
-            extra = {"tenant": name, "fraction": self._usage.tenants[name].fraction}
-            logger.info("tenant is limited", extra=extra)
+            extra = {"customer": name, "fraction": self._usage.customers[name].fraction}
+            logger.info("customer is limited", extra=extra)
         for name in sorted(self._limited - limited):
-            logger.info("tenant is no longer limited", extra={"tenant": name})
+            logger.info("customer is no longer limited", extra={"customer": name})
         self._limited = limited
--- a/src/verbenacross/quotas/tenant_usage.py
+++ b/src/verbenacross/quotas/customer_usage.py
@@ -1,10 +1,10 @@
-"""Demand and admitted requests of tenants in one instance."""
+"""Demand and admitted requests of customers in one instance."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from .messages import Report, TenantCount
+from .messages import CustomerCount, Report
 from .quota_limit import WINDOW_S, QuotaLimit
 from .rates import WindowedRate
 
@@ -13,7 +13,7 @@
     from collections.abc import Mapping
 
 # An instance without a message of its coordinator for this time, in seconds, limits
-# each tenant to the rate that it admitted before.
+# each customer to the rate that it admitted before.
 COORDINATOR_TIMEOUT_S = 0.5
 # An instance that has not heard from any coordinator since its start admits all
 # requests for this time, in seconds.
@@ -34,8 +34,8 @@
 MAX_CREDIT = 3.0
 
 
-class TenantUsage:
-    """Counts and admits the requests of one tenant in one instance."""
+class CustomerUsage:
+    """Counts and admits the requests of one customer in one instance."""
 
     def __init__(self, limit: QuotaLimit, generator: random.Random) -> None:
         self.limit = limit
@@ -80,11 +80,11 @@
 
     @property
     def is_in_fallback(self) -> bool:
-        """Whether the tenant is limited to a rate for lack of a coordinator."""
+        """Whether the customer is limited to a rate for lack of a coordinator."""
         return self._fallback_rate is not None
 
     def start_fallback(self, rate_per_s: float, credit: float, now: float) -> None:
-        """Limits the tenant to a rate until ``end_fallback``."""
+        """Limits the customer to a rate until ``end_fallback``."""
         self._fallback_rate = min(rate_per_s, self.limit.rate_per_s)
         self._fallback_at = now
         self._credit = credit
@@ -121,13 +121,13 @@
 
 
 class InstanceUsage:
-    """Usage of all limited tenants in one instance.
+    """Usage of all limited customers in one instance.
 
     ``heard_at`` is when the coordinator last sent a message, ``None`` before the first.
     """
 
     def __init__(self, generator: random.Random, now: float) -> None:
-        self.tenants: dict[str, TenantUsage] = {}
+        self.customers: dict[str, CustomerUsage] = {}
         self.instance_count = 1
         self.heard_at: float | None = None
         self._started_at = now
@@ -135,22 +135,22 @@
         self._generator = generator
 
     def set_limits(self, limits: Mapping[str, QuotaLimit]) -> None:
-        """Sets the limits; tenants without one are no longer counted."""
-        for name in self.tenants.keys() - limits.keys():
-            del self.tenants[name]
+        """Sets the limits; customers without one are no longer counted."""
+        for name in self.customers.keys() - limits.keys():
+            del self.customers[name]
         for name, limit in limits.items():
-            usage = self.tenants.get(name)
+            usage = self.customers.get(name)
             if usage is None:
-                self.tenants[name] = TenantUsage(limit, self._generator)
+                self.customers[name] = CustomerUsage(limit, self._generator)
             else:
                 usage.limit = limit
                 usage.limit_fallback(limit.rate_per_s)
 
     def admit(
-        self, tenant: str, now: float, *, is_repeat: bool = False
+        self, customer: str, now: float, *, is_repeat: bool = False
     ) -> float | None:
         """Admits a request; returns after how many seconds to retry if it does not."""
-        usage = self.tenants.get(tenant)
+        usage = self.customers.get(customer)
         if usage is None:
             return None
         if self.has_coordinator(now) or self._is_starting(now):
@@ -159,9 +159,9 @@
             self._start_fallback(usage, now)
         return usage.admit(now, is_repeat=is_repeat)
 
-    def refund(self, tenant: str, now: float) -> None:
+    def refund(self, customer: str, now: float) -> None:
         """Returns the credit of an admitted request that did not run."""
-        usage = self.tenants.get(tenant)
+        usage = self.customers.get(customer)
         if usage is not None and usage.demand:
             usage.refund(now)
 
@@ -180,23 +180,23 @@
         self.heard_at = now
 
     def set_fractions(self, fractions: Mapping[str, float], now: float) -> None:
-        """Sets the fractions of all tenants as sent by the coordinator."""
+        """Sets the fractions of all customers as sent by the coordinator."""
         self.record_heartbeat(now)
-        for name, usage in self.tenants.items():
+        for name, usage in self.customers.items():
             usage.fraction = fractions.get(name)
 
-    def get_counts(self) -> dict[str, TenantCount]:
-        """Returns the counts of all tenants that have sent requests, by name."""
+    def get_counts(self) -> dict[str, CustomerCount]:
+        """Returns the counts of all customers that have sent requests, by name."""
         return {
-            name: TenantCount(name, usage.demand, usage.admitted)
-            for name, usage in self.tenants.items()
+            name: CustomerCount(name, usage.demand, usage.admitted)
+            for name, usage in self.customers.items()
             if usage.demand
         }
 
     def _is_starting(self, now: float) -> bool:
         return self.heard_at is None and now - self._started_at < START_GRACE_S
 
-    def _start_fallback(self, usage: TenantUsage, now: float) -> None:
+    def _start_fallback(self, usage: CustomerUsage, now: float) -> None:
         share = usage.limit.rate_per_s / self.instance_count
         if usage.is_in_fallback:
             if self.heard_at is not None and now - self.heard_at > RESERVATION_S:
@@ -223,19 +223,19 @@
     def __init__(self, usage: InstanceUsage) -> None:
         self._usage = usage
         self._base = usage.get_counts()
-        self._sent: dict[str, TenantCount] = {}
+        self._sent: dict[str, CustomerCount] = {}
         self._sequence = 0
 
     def take_report(self, now: float) -> Report | None:
         """Returns the counts that changed, ``None`` if none did."""
-        changed: list[TenantCount] = []
+        changed: list[CustomerCount] = []
         counts = self._usage.get_counts()
         for kept in (self._base, self._sent):
             for name in kept.keys() - counts.keys():
                 del kept[name]
         for name, total in counts.items():
-            base = self._base.get(name, TenantCount(name, 0, 0))
-            count = TenantCount(
+            base = self._base.get(name, CustomerCount(name, 0, 0))
+            count = CustomerCount(
                 name, total.demand - base.demand, total.admitted - base.admitted
             )
             last = self._sent.get(name)
@@ -244,7 +244,7 @@
                 changed.append(count)
         return self.take_heartbeat(tuple(changed)) if changed else None
 
-    def take_heartbeat(self, counts: tuple[TenantCount, ...] = ()) -> Report:
+    def take_heartbeat(self, counts: tuple[CustomerCount, ...] = ()) -> Report:
         """Returns a report."""
         self._sequence += 1
         return Report(self._sequence, counts)
--- a/src/verbenacross/quotas/messages.py
+++ b/src/verbenacross/quotas/messages.py
@@ -13,14 +13,14 @@
     is_coordinator: bool
 
 
-class TenantCount(NamedTuple):
-    """Requests of a tenant since the link was opened.
+class CustomerCount(NamedTuple):
+    """Requests of a customer since the link was opened.
 
     ``admitted`` excludes refunded requests. The rates, in requests per second, are set
     in the reports of domain coordinators.
     """
 
-    tenant: str
+    customer: str
     demand: int
     admitted: int
     demand_per_s: float = 0.0
@@ -28,17 +28,17 @@
 
 
 class Report(NamedTuple):
-    """Counts of the tenants that changed; without any, a heartbeat.
+    """Counts of the customers that changed; without any, a heartbeat.
 
     ``sequence`` grows with each message of a link; older ones are ignored.
     """
 
     sequence: int
-    counts: tuple[TenantCount, ...] = ()
+    counts: tuple[CustomerCount, ...] = ()
 
 
 class Fractions(NamedTuple):
-    """Admitted fractions of all tenants that have one."""
+    """Admitted fractions of all customers that have one."""
 
     version: int
     fractions: dict[str, float]
--- a/src/verbenacross/quotas/quota_coordinator.py
+++ b/src/verbenacross/quotas/quota_coordinator.py
@@ -7,16 +7,16 @@
 
 import logbook
 
-from .messages import Fractions, Report, TenantCount
-from .quota_limit import WINDOW_S, QuotaLimit
-from .rates import RateEstimate, WindowedRate
-from .tenant_bucket import TenantBucket
-from .tenant_usage import (
+from .customer_bucket import CustomerBucket
+from .customer_usage import (
     COORDINATOR_TIMEOUT_S,
     FALLBACK_FACTOR,
     RESERVATION_S,
     START_GRACE_S,
 )
+from .messages import CustomerCount, Fractions, Report
+from .quota_limit import WINDOW_S, QuotaLimit
+from .rates import RateEstimate, WindowedRate
 
 if TYPE_CHECKING:
     from collections.abc import Hashable, Mapping
@@ -29,10 +29,10 @@
 # heartbeat every 0.4 s.
 CHILD_TIMEOUT_S = 1.0
 # A domain that sent a message within this time, in seconds, and does not report a
-# tenant has less demand than the threshold. The rates of others stay in force.
+# customer has less demand than the threshold. The rates of others stay in force.
 RECENT_CHILD_S = 0.6
 # Rates that a domain reported are used for this time, in seconds; a domain that
-# reports a tenant does so at least every CALM_REPORT_INTERVAL_S.
+# reports a customer does so at least every CALM_REPORT_INTERVAL_S.
 REPORT_LIFETIME_S = 1.6
 CALM_REPORT_INTERVAL_S = 1.0
 # Interval between two reports to the root, in seconds.
@@ -40,13 +40,13 @@
 # Smaller changes of the total demand are reported once a second, in requests per
 # second: they are within the slack of the bound.
 MIN_RATE_CHANGE = 4.0
-# A domain stops to report a tenant below this share of the threshold.
+# A domain stops to report a customer below this share of the threshold.
 THRESHOLD_HYSTERESIS = 0.7
 # Fractions are sent once they changed by this share. The level of the bucket makes up
 # for smaller changes.
 MIN_FRACTION_CHANGE = 0.05
 # A new root waits for the other domains for this time, in seconds, before it assumes
-# demand in those that are missing, unless the tenant was limited already.
+# demand in those that are missing, unless the customer was limited already.
 MISSING_GRACE_S = 0.6
 
 logger = logbook.Logger("verbenacross.quotas.coordinator")
@@ -61,15 +61,15 @@
 
 
 class RemoteUsage:
-    """Requests of one tenant in another failure domain, as reported by it."""
+    """Requests of one customer in another failure domain, as reported by it."""
 
-    def __init__(self, last: TenantCount | None) -> None:
+    def __init__(self, last: CustomerCount | None) -> None:
         self.resume(last)
         self.demand_per_s = 0.0
         self.admitted_per_s = 0.0
         self.expires_at = 0.0
 
-    def resume(self, last: TenantCount | None) -> None:
+    def resume(self, last: CustomerCount | None) -> None:
         """Counts from the last report on."""
         self.demand = last.demand if last else 0
         self.admitted = last.admitted if last else 0
@@ -77,7 +77,7 @@
         self._assumed = 0.0
         self._correction = 0.0
 
-    def update(self, count: TenantCount, now: float) -> None:
+    def update(self, count: CustomerCount, now: float) -> None:
         """Applies a report."""
         self._correction += count.admitted - self.admitted - self._assumed
         self._assumed = 0.0
@@ -105,7 +105,7 @@
 
 
 class ReportState:
-    """What a domain has reported of a tenant to the root."""
+    """What a domain has reported of a customer to the root."""
 
     def __init__(self) -> None:
         self.is_reported = False
@@ -117,13 +117,13 @@
         self.skipped_admitted = 0.0
 
 
-class TenantState:
-    """Usage of one tenant in the domain, and in the other domains at the root."""
+class CustomerState:
+    """Usage of one customer in the domain, and in the other domains at the root."""
 
     def __init__(self, limit: QuotaLimit, now: float) -> None:
         self.limit = limit
-        self.bucket = TenantBucket(limit, now, limit.burst + limit.margin)
-        self.fallback: TenantBucket | None = None
+        self.bucket = CustomerBucket(limit, now, limit.burst + limit.margin)
+        self.fallback: CustomerBucket | None = None
         # Totals of the domain; the assumed requests of silent children are fractional.
         self.demand = 0.0
         self.admitted = 0.0
@@ -175,9 +175,9 @@
         self.connected_at = now
         self.heard_at = now
         self.sequence = 0
-        self.counts: dict[str, TenantCount] = {}
+        self.counts: dict[str, CustomerCount] = {}
         self.rates: dict[str, tuple[WindowedRate, WindowedRate]] = {}
-        # Requests that were assumed while the child was silent, per tenant.
+        # Requests that were assumed while the child was silent, per customer.
         self.assumed: dict[str, tuple[float, float]] = {}
 
 
@@ -193,7 +193,7 @@
         self.role = Role.DOMAIN
         self.fractions: dict[str, float] = {}
         self.version = 0
-        self.tenants: dict[str, TenantState] = {}
+        self.customers: dict[str, CustomerState] = {}
         self.children: dict[Hashable, Child] = {}
         self.domains: frozenset[str] = frozenset((failure_domain,))
         self.root_heard_at = now
@@ -206,21 +206,21 @@
         self._sequence = 0
         self._reported_at = now
         self._reported_all_at = now
-        # Tenants that had a fraction when this coordinator became the root.
+        # Customers that had a fraction when this coordinator became the root.
         self._inherited: set[str] = set()
 
     def set_limits(self, limits: Mapping[str, QuotaLimit], now: float) -> None:
-        """Sets the limits; tenants without one are forgotten."""
-        for name in self.tenants.keys() - limits.keys():
-            del self.tenants[name]
+        """Sets the limits; customers without one are forgotten."""
+        for name in self.customers.keys() - limits.keys():
+            del self.customers[name]
         for child in self.children.values():
             for kept in (child.counts, child.rates, child.assumed):
                 for name in kept.keys() - limits.keys():
                     del kept[name]
         for name, limit in limits.items():
-            state = self.tenants.get(name)
+            state = self.customers.get(name)
             if state is None:
-                self.tenants[name] = TenantState(limit, now)
+                self.customers[name] = CustomerState(limit, now)
             elif state.limit != limit:
                 state.set_limit(limit)
                 self._derive(name, state, now, 0.0)
@@ -242,16 +242,16 @@
         children = {
             child.hello.instance: child.counts for child in self.children.values()
         }
-        for name, state in self.tenants.items():
+        for name, state in self.customers.items():
             state.take_unbilled()
             state.fallback = None
             # Debt and the last rates of other domains stay in force if this instance
             # was the root shortly before.
             for instance, usage in state.remote.items():
                 usage.resume(children.get(instance, {}).get(name))
-            # The margin keeps single requests of small tenants from being refused.
+            # The margin keeps single requests of small customers from being refused.
             level = min(state.limit.margin, state.bucket.level)
-            state.bucket = TenantBucket(state.limit, now, level)
+            state.bucket = CustomerBucket(state.limit, now, level)
 
     def follow(self, now: float) -> None:
         """Is no root from now on."""
@@ -263,7 +263,7 @@
     def open_root_link(self) -> None:
         """Counts the reports to the root from 0, as a new connection was opened."""
         self._sequence = 0
-        for state in self.tenants.values():
+        for state in self.customers.values():
             state.report = ReportState()
             state.report.skipped_demand = state.demand
             state.report.skipped_admitted = state.admitted
@@ -275,7 +275,7 @@
                 del self.children[other_key]
         self.children[key] = Child(hello, now)
         if self._is_remote(hello):
-            for state in self.tenants.values():
+            for state in self.customers.values():
                 usage = state.remote.get(hello.instance)
                 if usage is not None:
                     usage.start_connection()
@@ -295,16 +295,16 @@
         child.heard_at = now
         is_remote = self._is_remote(child.hello)
         for count in report.counts:
-            state = self.tenants.get(count.tenant)
+            state = self.customers.get(count.customer)
             if state is None:
                 continue
             if is_remote and self.role is Role.ROOT:
                 usage = state.remote.get(child.hello.instance)
                 if usage is None:
-                    last = child.counts.get(count.tenant)
+                    last = child.counts.get(count.customer)
                     usage = state.remote[child.hello.instance] = RemoteUsage(last)
                 usage.update(count, now)
-                child.counts[count.tenant] = count
+                child.counts[count.customer] = count
             else:
                 self._add_counts(child, state, count, now)
         if is_remote and self.role is Role.ROOT and report.counts:
@@ -316,7 +316,7 @@
         if self.role is Role.ROOT:
             return
         self.record_root_heartbeat(now)
-        for name, state in self.tenants.items():
+        for name, state in self.customers.items():
             state.fraction = fractions.get(name)
         self._publish(is_forced=True)
 
@@ -326,7 +326,7 @@
         self._has_known_root = True
         if self.role is Role.ORPHAN:
             self._set_role(Role.DOMAIN, now)
-            for state in self.tenants.values():
+            for state in self.customers.values():
                 state.fallback = None
 
     def update(self, now: float) -> None:
@@ -336,7 +336,7 @@
             return
         self._updated_at = now
         self._assume_silent(elapsed_s, now)
-        for state in self.tenants.values():
+        for state in self.customers.values():
             state.sample(elapsed_s, now)
         timeout_s = COORDINATOR_TIMEOUT_S if self._has_known_root else START_GRACE_S
         if self.role is Role.DOMAIN and now - self.root_heard_at > timeout_s:
@@ -348,11 +348,11 @@
         """Returns the next report to the root, ``None`` if there is nothing to send."""
         if now - self._reported_at < REPORT_INTERVAL_S - 0.01:
             return None
-        # All tenants above the threshold are reported in one message.
+        # All customers above the threshold are reported in one message.
         is_due = now - self._reported_all_at >= CALM_REPORT_INTERVAL_S - 0.01
         counts = [
             count
-            for name, state in self.tenants.items()
+            for name, state in self.customers.items()
             if (count := self._take_count(name, state, is_due)) is not None
         ]
         if is_due:
@@ -362,7 +362,7 @@
         self._reported_at = now
         return self.take_heartbeat(tuple(counts))
 
-    def take_heartbeat(self, counts: tuple[TenantCount, ...] = ()) -> Report:
+    def take_heartbeat(self, counts: tuple[CustomerCount, ...] = ()) -> Report:
         """Returns a report to the root."""
         self._sequence += 1
         return Report(self._sequence, counts)
@@ -409,10 +409,10 @@
         self._role_since = now
 
     def _add_counts(
-        self, child: Child, state: TenantState, count: TenantCount, now: float
+        self, child: Child, state: CustomerState, count: CustomerCount, now: float
     ) -> None:
-        name = count.tenant
-        last = child.counts.get(name, TenantCount(name, 0, 0))
+        name = count.customer
+        last = child.counts.get(name, CustomerCount(name, 0, 0))
         child.counts[name] = count
         assumed = child.assumed.pop(name, (0.0, 0.0))
         demand = count.demand - last.demand
@@ -426,8 +426,8 @@
 
     def _assume_silent(self, elapsed_s: float, now: float) -> None:
         """Adds the last rates of silent children, as if they sent requests on."""
-        for tenant in self.tenants.values():
-            tenant.silent_demand_per_s = tenant.silent_admitted_per_s = 0.0
+        for customer in self.customers.values():
+            customer.silent_demand_per_s = customer.silent_admitted_per_s = 0.0
         for key, child in list(self.children.items()):
             if child.is_connected and now - child.heard_at < CHILD_TIMEOUT_S:
                 continue
@@ -441,7 +441,7 @@
             if self._is_remote(child.hello) and self.role is Role.ROOT:
                 continue
             for name, (demand_rate, admitted_rate) in child.rates.items():
-                state = self.tenants.get(name)
+                state = self.customers.get(name)
                 if state is None:
                     continue
                 demand_per_s = demand_rate.get(child.heard_at)
@@ -469,22 +469,22 @@
 
     def _remove_child(self, key: Hashable) -> None:
         child = self.children.pop(key)
-        for state in self.tenants.values():
+        for state in self.customers.values():
             state.remote.pop(child.hello.instance, None)
 
     def _derive_all(self, now: float) -> None:
         missing = self.find_missing_domains() if self.role is Role.ROOT else frozenset()
         is_late = now - self._role_since > MISSING_GRACE_S
-        for name, state in self.tenants.items():
+        for name, state in self.customers.items():
             is_missing = is_late or name in self._inherited
             factor = len(missing) / max(1, len(self.domains) - len(missing))
             self._derive(name, state, now, factor if is_missing else 0.0)
         self._publish()
 
     def _derive(
-        self, name: str, state: TenantState, now: float, missing_factor: float
+        self, name: str, state: CustomerState, now: float, missing_factor: float
     ) -> None:
-        """Derives the fraction of a tenant.
+        """Derives the fraction of a customer.
 
         Missing domains have the requests of the others times ``missing_factor``.
         """
@@ -522,7 +522,7 @@
             max(0.0, state.total_demand_per_s - silent_demand), state.fraction, reserved
         )
 
-    def _derive_orphan(self, state: TenantState, now: float) -> None:
+    def _derive_orphan(self, state: CustomerState, now: float) -> None:
         """Limits the domain to the rate that it admitted before it lost the root."""
         share = 1 / len(self.domains)
         if state.fallback is None:
@@ -534,7 +534,7 @@
                 excess = state.window_rate.get_excess(heard_at, now, rate)
             limit = QuotaLimit(min(rate, state.limit.rate_per_s), 0.0)
             level = state.limit.margin * share - excess
-            state.fallback = TenantBucket(limit, now, level)
+            state.fallback = CustomerBucket(limit, now, level)
             state.take_unbilled()
         state.fallback.advance(state.take_unbilled(), now)
         state.fraction = state.fallback.derive_fraction(
@@ -553,9 +553,9 @@
         }
 
     def _take_count(
-        self, name: str, state: TenantState, is_due: bool
-    ) -> TenantCount | None:
-        """Returns the counts of a tenant if the root needs them now."""
+        self, name: str, state: CustomerState, is_due: bool
+    ) -> CustomerCount | None:
+        """Returns the counts of a customer if the root needs them now."""
         report = state.report
         rate = state.demand_rate.per_s
         limit_share = state.limit.rate_per_s / len(self.domains)
@@ -578,7 +578,7 @@
         report.sent_rate = rate
         report.sent_demand = round(state.demand - report.skipped_demand)
         report.sent_admitted = round(state.admitted - report.skipped_admitted)
-        return TenantCount(
+        return CustomerCount(
             name,
             report.sent_demand,
             report.sent_admitted,
@@ -590,7 +590,7 @@
         """Sets the fractions for the children if they have changed enough."""
         fractions = {
             name: state.fraction
-            for name, state in self.tenants.items()
+            for name, state in self.customers.items()
             if state.fraction is not None
         }
         has_changed = fractions.keys() != self.fractions.keys() or any(
--- a/src/verbenacross/quotas/quota_limit.py
+++ b/src/verbenacross/quotas/quota_limit.py
@@ -1,4 +1,4 @@
-"""Limit of a tenant and the tolerance that it is enforced with."""
+"""Limit of a customer and the tolerance that it is enforced with."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class QuotaLimit(NamedTuple):
-    """Requests per second and burst of a tenant over all instances."""
+    """Requests per second and burst of a customer over all instances."""
 
     rate_per_s: float
     burst: float
@@ -35,11 +35,11 @@
 
 
 def get_limits(table: RouteTable) -> dict[str, QuotaLimit]:
-    """Returns the limits of the tenants that have one, by name."""
-    if table.tenants is None:
+    """Returns the limits of the customers that have one, by name."""
+    if table.customers is None:
         return {}
     return {
-        tenant.name: QuotaLimit(tenant.rate_per_s, max(0.0, tenant.burst))
-        for tenant in table.tenants.tenants.values()
-        if tenant.rate_per_s > 0
+        customer.name: QuotaLimit(customer.rate_per_s, max(0.0, customer.burst))
+        for customer in table.customers.by_name.values()
+        if customer.rate_per_s > 0
     }
--- a/src/verbenacross/routes/route_table.py
+++ b/src/verbenacross/routes/route_table.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from ..tenants.tenant_table import TenantTable
+    from ..customers.customer_table import CustomerTable
     from .caller_limits import CallerLimits
     from .route import Route
     from .service import Service
@@ -16,7 +16,7 @@
 class RouteTable:
     """All routes, services and limits of one configuration version.
 
-    ``version`` is the operator's, ``revision`` the store's. Without ``tenants``,
+    ``version`` is the operator's, ``revision`` the store's. Without ``customers``,
     requests need no API key.
     """
 
@@ -27,13 +27,13 @@
         limits: CallerLimits,
         routes: Iterable[Route],
         services: Mapping[str, Service],
-        tenants: TenantTable | None = None,
+        customers: CustomerTable | None = None,
     ) -> None:
         self.version = version
         self.revision = revision
         self.limits = limits
         self.services = services
-        self.tenants = tenants
+        self.customers = customers
         self.routes = {route.key: route for route in routes}
 
     def find(self, host: str, path: str) -> Route | None:
--- a/src/verbenacross/tenants/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tenants, who share the services, and the API keys that identify them."""
--- a/tests/tenants/test_tenant_table.py
+++ b/tests/customers/test_customer_table.py
@@ -1,4 +1,4 @@
-"""Look-up of tenants by their API keys."""
+"""Look-up of customers by their API keys."""
 
 from __future__ import annotations
 
@@ -6,26 +6,26 @@
 
 import pytest
 
-from verbenacross.tenants.tenant import Tenant
-from verbenacross.tenants.tenant_table import TenantTable
+from verbenacross.customers.customer import Customer
+from verbenacross.customers.customer_table import CustomerTable
 
-LIBRARY = Tenant("library", priority=0)
-SCHOOL = Tenant("school")
+LIBRARY = Customer("library", priority=0)
+SCHOOL = Customer("school")
 
 
 @pytest.fixture
 def table():
-    return TenantTable({"key-1": LIBRARY, "key-2": LIBRARY, "key-3": SCHOOL})
+    return CustomerTable({"key-1": LIBRARY, "key-2": LIBRARY, "key-3": SCHOOL})
 
 
-def test_each_key_leads_to_its_tenant(table):
+def test_each_key_leads_to_its_customer(table):
     assert [table.find(f"key-{number}") for number in (1, 2, 3)] == [
         LIBRARY,
         LIBRARY,
         SCHOOL,
     ]
     assert table.key_count == 3
-    assert set(table.tenants) == {"library", "school"}
+    assert set(table.by_name) == {"library", "school"}
 
 
 @pytest.mark.parametrize(
@@ -39,7 +39,7 @@
 def test_keys_are_not_kept():
     """A state dump or a core file must not contain keys that callers use."""
     key = "".join(["a-key-", "of-this-test"])
-    table = TenantTable({key: LIBRARY})
+    table = CustomerTable({key: LIBRARY})
 
     held = [
         value
@@ -48,5 +48,5 @@
     ]
 
     assert table.find(key) is LIBRARY
-    assert not any(value is vars(table) or value is table._tenants for value in held)
-    assert key.encode() not in b"".join(table._tenants)
+    assert not any(value is vars(table) or value is table._by_digest for value in held)
+    assert key.encode() not in b"".join(table._by_digest)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -119,16 +119,16 @@
     assert decode(document).version == 7
 
 
-def build_document_with_tenants(*tenants):
+def build_document_with_customers(*customers):
     document = copy.deepcopy(CONFIGURATION)
-    document["tenants"] = list(tenants)
+    document["tenants"] = list(customers)
     document["listeners"][0]["rules"][1]["public"] = True
     return document
 
 
-def test_tenants_are_taken_with_their_limits():
+def test_customers_are_taken_with_their_limits():
     table = decode(
-        build_document_with_tenants(
+        build_document_with_customers(
             {
                 "name": "library",
                 "api_keys": ["k1", "k2"],
@@ -140,26 +140,26 @@
         )
     )
 
-    assert tuple(table.tenants.find("k2")) == ("library", 1, 134.0, 20.0)
-    assert tuple(table.tenants.find("k3")) == ("school", None, 0.0, 0.0)
-    assert table.tenants.find("k4") is None
+    assert tuple(table.customers.find("k2")) == ("library", 1, 134.0, 20.0)
+    assert tuple(table.customers.find("k3")) == ("school", None, 0.0, 0.0)
+    assert table.customers.find("k4") is None
     assert not table.find("layers.example", "/maps/").is_public
     assert table.find("layers.example", "/publish/").is_public
 
 
-def test_configuration_without_tenants_needs_no_keys():
-    assert decode(CONFIGURATION).tenants is None
+def test_configuration_without_customers_needs_no_keys():
+    assert decode(CONFIGURATION).customers is None
 
 
-def test_tenant_without_keys_is_allowed():
-    """The last key of a tenant may be removed before the tenant is."""
-    table = decode(build_document_with_tenants({"name": "library", "api_keys": []}))
+def test_customer_without_keys_is_allowed():
+    """The last key of a customer may be removed before the customer is."""
+    table = decode(build_document_with_customers({"name": "library", "api_keys": []}))
 
-    assert table.tenants.key_count == 0
+    assert table.customers.key_count == 0
 
 
-def test_faults_of_tenants_are_reported_without_the_keys():
-    document = build_document_with_tenants(
+def test_faults_of_customers_are_reported_without_the_keys():
+    document = build_document_with_customers(
         {"name": "library", "api_keys": ["secret-1", "secret-2"]},
         {"name": "library", "api_keys": ["secret-2"], "priority": -1},
         {"name": "caf\u00e9", "api_keys": [""], "rate_per_s": "many"},
--- a/tests/quotas/fleet.py
+++ b/tests/quotas/fleet.py
@@ -9,9 +9,9 @@
 from collections import Counter, deque
 
 from verbenacross.quotas.codec import encode_message
+from verbenacross.quotas.customer_usage import InstanceUsage, UsageReporter
 from verbenacross.quotas.messages import Fractions, Heartbeat, Hello
 from verbenacross.quotas.quota_coordinator import QuotaCoordinator
-from verbenacross.quotas.tenant_usage import InstanceUsage, UsageReporter
 
 STEP_S = 0.05
 TICK_S = 0.1
@@ -181,17 +181,17 @@
                 heapq.heappush(self.queue, entry)
 
     def run(self, duration_s, rates):
-        """Runs with the given requests per second of each tenant."""
+        """Runs with the given requests per second of each customer."""
         end = self.now + duration_s
         weights = list(self.weights.values())
         while self.now < end - 1e-9:
             self.now += STEP_S
             events = []
-            for tenant, rate in rates.items():
+            for customer, rate in rates.items():
                 for _ in range(self.draw_poisson(rate * STEP_S)):
                     at = self.now - self.generator.uniform(0, STEP_S)
                     name = self.generator.choices(self.names, weights)[0]
-                    events.append((at, next(self.order), name, tenant))
+                    events.append((at, next(self.order), name, customer))
             for name, instance in self.instances.items():
                 while instance.next_at <= self.now:
                     events.append((instance.next_at, next(self.order), name, None))
@@ -218,21 +218,21 @@
         else:
             self.request(instance, rest[0], at)
 
-    def request(self, instance, tenant, at):
-        self.demand[tenant] += 1
-        if instance.usage.admit(tenant, at) is None:
+    def request(self, instance, customer, at):
+        self.demand[customer] += 1
+        if instance.usage.admit(customer, at) is None:
             if self.generator.random() < self.refund_share:
-                instance.usage.refund(tenant, at)
+                instance.usage.refund(customer, at)
                 return
-            self.admitted[tenant] += 1
-            self.record(tenant, at)
+            self.admitted[customer] += 1
+            self.record(customer, at)
 
-    def record(self, tenant, at):
-        window = self.windows[tenant]
+    def record(self, customer, at):
+        window = self.windows[customer]
         window.append(at)
         while window[0] <= at - 5:
             window.popleft()
-        self.largest[tenant] = max(self.largest[tenant], len(window))
+        self.largest[customer] = max(self.largest[customer], len(window))
 
     def restart(self, name):
         """Replaces an instance; its counts and connections are lost."""
--- a/tests/quotas/measure_model.py
+++ b/tests/quotas/measure_model.py
@@ -11,18 +11,18 @@
 from verbenacross.quotas.quota_limit import QuotaLimit
 
 SIZES = ((13, 3), (119, 4), (311, 5))
-TENANTS = 79
+CUSTOMERS = 79
 
 
 def measure(count, domain_count, factor, seed=1):
-    """Runs calm tenants and one that jumps to several times its demand."""
+    """Runs calm customers and one that jumps to several times its demand."""
     limits = {
-        f"tenant-{index}": QuotaLimit(5.0 + index * 45 / TENANTS, 5.0)
-        for index in range(TENANTS)
+        f"customer-{index}": QuotaLimit(5.0 + index * 45 / CUSTOMERS, 5.0)
+        for index in range(CUSTOMERS)
     }
     fleet = Fleet(count, domain_count, limits, seed)
     calm = {name: limit.rate_per_s / 1.6 for name, limit in limits.items()}
-    hot = f"tenant-{TENANTS - 1}"
+    hot = f"customer-{CUSTOMERS - 1}"
     fleet.run(5, calm)
     figures = {}
     for phase, rates, duration_s in (
--- a/tests/quotas/test_bound.py
+++ b/tests/quotas/test_bound.py
@@ -9,7 +9,7 @@
 from tests.quotas.fleet import Fleet
 from verbenacross.quotas.quota_limit import QuotaLimit
 
-TENANT = "tenant-0"
+CUSTOMER = "customer-0"
 NODES = st.sampled_from([f"node-{index}" for index in range(8)])
 
 
@@ -18,13 +18,13 @@
 
     @initialize(seed=st.integers(0, 1_000), rate=st.sampled_from((2.0, 40.0, 100.0)))
     def start(self, seed, rate):
-        self.fleet = Fleet(8, 2, {TENANT: QuotaLimit(rate, rate / 2)}, seed)
+        self.fleet = Fleet(8, 2, {CUSTOMER: QuotaLimit(rate, rate / 2)}, seed)
         self.fleet.refund_share = 0.05
         self.run_for(2.0, 0.6)
 
     def run_for(self, duration_s, factor):
-        rate = self.fleet.limits[TENANT].rate_per_s
-        self.fleet.run(duration_s, {TENANT: rate * factor})
+        rate = self.fleet.limits[CUSTOMER].rate_per_s
+        self.fleet.run(duration_s, {CUSTOMER: rate * factor})
 
     @rule(duration_s=st.sampled_from((0.2, 1.0, 2.5)), factor=st.floats(0.3, 5.0))
     def send_requests(self, duration_s, factor):
@@ -64,16 +64,16 @@
     @rule(rate=st.sampled_from((2.0, 10.0, 40.0, 100.0)))
     def change_limit(self, rate):
         self.run_for(0.5, 0.6)
-        self.fleet.change_limits({TENANT: QuotaLimit(rate, rate / 2)})
+        self.fleet.change_limits({CUSTOMER: QuotaLimit(rate, rate / 2)})
         self.run_for(1.0, 1.0)
-        self.fleet.windows[TENANT].clear()
+        self.fleet.windows[CUSTOMER].clear()
         self.fleet.largest.clear()
 
     @invariant()
     def stays_within_bound(self):
         if hasattr(self, "fleet"):
-            largest = self.fleet.largest[TENANT]
-            assert largest <= self.fleet.limits[TENANT].bound, largest
+            largest = self.fleet.largest[CUSTOMER]
+            assert largest <= self.fleet.limits[CUSTOMER].bound, largest
 
 
 TestQuotaMachine = QuotaMachine.TestCase
--- a/tests/quotas/test_decisions.py
+++ b/tests/quotas/test_decisions.py
@@ -9,22 +9,22 @@
 from verbenacross.feed.members import Member, rank
 from verbenacross.quotas.codec import decode_message, encode_message
 from verbenacross.quotas.coordinator_choice import list_coordinators, list_roots
+from verbenacross.quotas.customer_bucket import CustomerBucket
+from verbenacross.quotas.customer_usage import (
+    START_GRACE_S,
+    InstanceUsage,
+    UsageReporter,
+)
 from verbenacross.quotas.exceptions import QuotaError
 from verbenacross.quotas.messages import (
+    CustomerCount,
     Fractions,
     Heartbeat,
     Hello,
     Report,
-    TenantCount,
 )
 from verbenacross.quotas.quota_coordinator import QuotaCoordinator, Role
 from verbenacross.quotas.quota_limit import WINDOW_S, QuotaLimit
-from verbenacross.quotas.tenant_bucket import TenantBucket
-from verbenacross.quotas.tenant_usage import (
-    START_GRACE_S,
-    InstanceUsage,
-    UsageReporter,
-)
 
 LIMITS = {"a": QuotaLimit(100.0, 10.0)}
 
@@ -69,13 +69,13 @@
     # Requests that did not run must not use up the quota.
     usage = create_usage()
     usage.set_fractions({"a": 0.01}, 0.0)
-    usage.tenants["a"].admitted = 3
+    usage.customers["a"].admitted = 3
     usage.refund("a", 0.1)  # Not counted: no request was seen since the limit was set.
-    assert usage.tenants["a"].admitted == 3
+    assert usage.customers["a"].admitted == 3
     while usage.admit("a", 0.1) is not None:
         pass
     usage.refund("a", 0.1)
-    assert usage.tenants["a"].admitted == 3
+    assert usage.customers["a"].admitted == 3
     assert usage.admit("a", 0.1) is None
 
 
@@ -119,21 +119,21 @@
     reporter = UsageReporter(usage)
     assert reporter.take_report(0.4) is None
     usage.admit("a", 0.45)
-    assert reporter.take_report(0.5) == Report(1, (TenantCount("a", 1, 1),))
+    assert reporter.take_report(0.5) == Report(1, (CustomerCount("a", 1, 1),))
     assert reporter.take_report(0.6) is None
 
 
-def test_removed_tenants_are_forgotten():
-    # Memory must not grow with all tenants that ever were.
+def test_removed_customers_are_forgotten():
+    # Memory must not grow with all customers that ever were.
     usage, root = create_usage(), create_root()
-    root.receive("i", Report(1, (TenantCount("a", 5, 5),)), 0.1)
+    root.receive("i", Report(1, (CustomerCount("a", 5, 5),)), 0.1)
     reporter = UsageReporter(usage)
     usage.admit("a", 0.1)
     reporter.take_report(0.1)
     usage.set_limits({})
     root.set_limits({}, 0.2)
     root.update(0.3)
-    assert not usage.tenants and not root.tenants
+    assert not usage.customers and not root.customers
     assert not root.children["i"].counts and not root.children["i"].rates
     assert usage.admit("a", 0.3) is None
     assert reporter.take_report(0.3) is None
@@ -143,15 +143,15 @@
     # A repeated message must not be taken for demand.
     root = create_root()
     for sequence, demand in ((1, 10), (1, 10), (3, 30), (2, 20)):
-        root.receive("i", Report(sequence, (TenantCount("a", demand, demand),)), 0.1)
-    assert root.tenants["a"].demand == 30
+        root.receive("i", Report(sequence, (CustomerCount("a", demand, demand),)), 0.1)
+    assert root.customers["a"].demand == 30
 
 
 def test_jump_in_another_domain_is_limited_by_its_report():
     # The root must not wait for its next update.
     root = create_root()
     root.update(0.1)
-    count = TenantCount("a", 80, 80, 400.0, 400.0)
+    count = CustomerCount("a", 80, 80, 400.0, 400.0)
     root.receive("d", Report(1, (count,)), 0.15)
     assert root.fractions["a"] < 0.3
 
@@ -161,12 +161,12 @@
     root = create_root()
     for step in range(1, 60):
         now = step / 10
-        count = TenantCount("a", step * 6, step * 6, 60.0, 60.0)
+        count = CustomerCount("a", step * 6, step * 6, 60.0, 60.0)
         if step <= 20:
             root.receive("d", Report(step, (count,)), now)
-        root.receive("i", Report(step, (TenantCount("a", step * 8, step * 8),)), now)
+        root.receive("i", Report(step, (CustomerCount("a", step * 8, step * 8),)), now)
         root.update(now)
-    assert root.tenants["a"].total_demand_per_s == pytest.approx(140, rel=0.1)
+    assert root.customers["a"].total_demand_per_s == pytest.approx(140, rel=0.1)
     assert root.fractions["a"] < 0.8
 
 
@@ -179,10 +179,10 @@
     root.connect("i", Hello("i", "x", False), 0.0)
     for step in range(1, 60):
         root.receive(
-            "i", Report(step, (TenantCount("a", step * 9, step * 9),)), step / 10
+            "i", Report(step, (CustomerCount("a", step * 9, step * 9),)), step / 10
         )
         root.update(step / 10)
-    assert root.tenants["a"].total_demand_per_s == pytest.approx(180, rel=0.1)
+    assert root.customers["a"].total_demand_per_s == pytest.approx(180, rel=0.1)
     assert root.fractions["a"] < 0.6
 
 
@@ -198,7 +198,7 @@
         if step < 50:
             domain.record_root_heartbeat(now)
         demand += 2 if step < 50 else 20
-        domain.receive("i", Report(step, (TenantCount("a", demand, demand),)), now)
+        domain.receive("i", Report(step, (CustomerCount("a", demand, demand),)), now)
         domain.update(now)
     assert domain.role is Role.ORPHAN
     assert domain.fractions["a"] < 0.2
@@ -206,7 +206,7 @@
     assert domain.role is Role.DOMAIN and not domain.fractions
 
 
-def test_domain_reports_only_tenants_above_the_threshold():
+def test_domain_reports_only_customers_above_the_threshold():
     # Messages between failure domains are paid for.
     domain = QuotaCoordinator("y", 0.0)
     domain.set_limits(LIMITS, 0.0)
@@ -216,7 +216,7 @@
     reports, demand = [], 0
     for step in range(1, 60):
         demand += 1 if step < 30 else 5
-        report = Report(step, (TenantCount("a", demand, demand),))
+        report = Report(step, (CustomerCount("a", demand, demand),))
         domain.receive("i", report, step / 10)
         domain.record_root_heartbeat(step / 10)
         domain.update(step / 10)
@@ -230,7 +230,7 @@
 def test_lowered_limit_applies_at_once():
     # The next report may come a second later.
     root = create_root()
-    count = TenantCount("a", 60, 60, 60.0, 60.0)
+    count = CustomerCount("a", 60, 60, 60.0, 60.0)
     root.receive("d", Report(1, (count,)), 0.5)
     assert root.fractions.get("a", 1.0) == 1.0
     root.set_limits({"a": QuotaLimit(6.0, 0.0)}, 0.6)
@@ -238,8 +238,8 @@
 
 
 def test_debt_is_made_up_for_but_not_for_ever():
-    # Requests before the last window must not starve a tenant.
-    bucket = TenantBucket(QuotaLimit(10.0, 0.0), 0.0)
+    # Requests before the last window must not starve a customer.
+    bucket = CustomerBucket(QuotaLimit(10.0, 0.0), 0.0)
     bucket.advance(1_000.0, 0.0)
     assert bucket.derive_fraction(100.0, None) == pytest.approx(0.005)
     bucket.advance(0.0, 4.0)
@@ -263,7 +263,7 @@
     "message",
     [
         Hello("i", "x", True),
-        Report(3, (TenantCount("a", 5, 4), TenantCount("b", 9, 9, 1.5, 0.25))),
+        Report(3, (CustomerCount("a", 5, 4), CustomerCount("b", 9, 9, 1.5, 0.25))),
         Fractions(7, {"a": 0.25, "b": 1.0}),
         Heartbeat(7),
     ],
@@ -286,7 +286,7 @@
 def test_domain_that_has_just_started_without_a_root_admits_its_share():
     """All instances restart at once: nothing is known of the rates before.
 
-    All tenants were refused for half a second after a loss of power.
+    All customers were refused for half a second after a loss of power.
     """
     domain = QuotaCoordinator("y", 0.0)
     domain.set_limits(LIMITS, 0.0)
@@ -296,7 +296,7 @@
     for step in range(1, 31):
         now = step / 10
         demand = round(demand_per_s * now)
-        domain.receive("i", Report(step, (TenantCount("a", demand, demand),)), now)
+        domain.receive("i", Report(step, (CustomerCount("a", demand, demand),)), now)
         domain.update(now)
         if now < START_GRACE_S:
             assert domain.fractions.get("a", 1.0) == 1.0
@@ -336,7 +336,7 @@
 
 
 def test_repeats_are_admitted_where_the_quota_has_room():
-    """A tenant whose callers all return must get its quota as well."""
+    """A customer whose callers all return must get its quota as well."""
     usage = create_usage()
     usage.set_fractions({"a": 0.5}, 0.0)
     admitted = 0
--- a/tests/quotas/test_links.py
+++ b/tests/quotas/test_links.py
@@ -11,23 +11,23 @@
 from websockets.asyncio.client import connect
 
 from standins.fleet import find_free_ports
+from verbenacross.customers.customer import Customer
+from verbenacross.customers.customer_table import CustomerTable
 from verbenacross.documents.address import Address
 from verbenacross.feed.codec import decode_message, encode_message
 from verbenacross.feed.members import Member, rank
 from verbenacross.feed.messages import Subscribe, Update
 from verbenacross.feed.publisher import Publisher
 from verbenacross.feed.record_log import RecordLog
+from verbenacross.quotas.customer_quotas import CustomerQuotas
 from verbenacross.quotas.quota_link import QUOTAS_PATH
-from verbenacross.quotas.tenant_quotas import TenantQuotas
-from verbenacross.tenants.tenant import Tenant
-from verbenacross.tenants.tenant_table import TenantTable
 
-LIMITED = Tenant("a", rate_per_s=40.0, burst=5.0)
+LIMITED = Customer("a", rate_per_s=40.0, burst=5.0)
 
 
-def build_table(*tenants):
-    keys = {f"key-{index}": tenant for index, tenant in enumerate(tenants)}
-    return SimpleNamespace(tenants=TenantTable(keys))
+def build_table(*customers):
+    keys = {f"key-{index}": customer for index, customer in enumerate(customers)}
+    return SimpleNamespace(customers=CustomerTable(keys))
 
 
 class Instance:
@@ -35,7 +35,7 @@
 
     def __init__(self, member, members):
         self.member = member
-        self.quotas = TenantQuotas(member, lambda: members, lambda: len(members))
+        self.quotas = CustomerQuotas(member, lambda: members, lambda: len(members))
         self.log = RecordLog()
         self.publisher = Publisher(self.log, lambda: True)
         self.publisher.handlers[QUOTAS_PATH] = self.quotas.handle_connection
@@ -90,7 +90,7 @@
 async def test_does_nothing_without_a_limit(instances):
     # Deployments without limits must see no connection and no refusal.
     for instance in instances:
-        instance.quotas.apply_table(build_table(Tenant("a")))
+        instance.quotas.apply_table(build_table(Customer("a")))
     await asyncio.sleep(0.4)
     assert {instance.role for instance in instances} == {"disabled"}
     admitted, sent = await send(instances[0].quotas, 500, 0.2)
