--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -32,6 +32,8 @@
 PLACEHOLDER = re.compile(r"\{\{([a-z_.]+)(\|json)?\}\}")
 METRICS_PORT = 9464
 START_TIMEOUT_S = 20.0
+# A script may run for 120 s.
+TIME_LIMIT_S = 100.0
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 
 # The bounds of the grown deployments, as LATER.md of grown/ and demands/ states them.
@@ -315,13 +317,25 @@
     return PLACEHOLDER.sub(replace, template)
 
 
+async def run_limited(case: Any, record: Record, has_trouble: bool) -> int:
+    """Runs a case up to ``TIME_LIMIT_S`` or SIGTERM; its processes end with it."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(TIME_LIMIT_S):
+        return int(await case(record, has_trouble))
+
+
 def run_case(folder: Path, case: Any) -> int:
     """Runs a case; returns the exit code of its script."""
     record = Record(folder)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"disruption: {'on' if has_trouble else 'off'}")
     try:
-        code = asyncio.run(case(record, has_trouble))
+        code = asyncio.run(run_limited(case, record, has_trouble))
+    except (asyncio.CancelledError, TimeoutError):
+        record.write("the case was ended early")
+        code = NOT_RUN
     except CaseNotRunError as error:
         record.write(f"the case could not run: {error}")
         code = NOT_RUN
