Log era, revision and result of each read of all records

Cause: 'store history lost' names the revision from which a watch was refused, but no line named the era or the revision of the records that were read instead, nor how many of them were used. A store that came back from an older copy, a compaction, a hand-over and a start from a source that is behind print the same lines. Change: the store's adapter reads the header Store-Era and logs its changes; 'read all records' and 'received all records' give revision, previous revision and the records taken and ignored; messages on sources give both revisions. Gauges store_era, store_revision, ignored_records; the same in the dump. Nothing that is decided changes.

--- a/src/verbenacross/feed/record_log.py
+++ b/src/verbenacross/feed/record_log.py
@@ -25,6 +25,13 @@
     source: str
 
 
+class MergeCounts(NamedTuple):
+    """How many records of a merge changed the copy, and how many it already had."""
+
+    taken: int
+    ignored: int
+
+
 class Tombstone(NamedTuple):
     """A deleted key, kept so that subscribers receive the deletion."""
 
@@ -38,10 +45,12 @@
 
     ``revision`` is the store revision up to which the copy is complete; ``loaded`` is
     set by the first merge. ``batches`` emits the records that changed the copy. An
-    older record never replaces a newer one.
+    older record never replaces a newer one. ``ignored_count`` counts those that were
+    merged and not newer.
     """
 
     def __init__(self) -> None:
+        self.ignored_count = 0
         self.revision = 0
         self.loaded = asyncio.Event()
         self.batches: Subject[RecordBatch] = Subject()
@@ -57,7 +66,7 @@
         source: str,
         *,
         is_complete: bool,
-    ) -> None:
+    ) -> MergeCounts:
         """Merges records that are complete up to a revision.
 
         With ``is_complete``, ``records`` are all records at that revision, so every
@@ -81,8 +90,11 @@
         self.revision = max(self.revision, revision)
         self.loaded.set()
         self._expire_tombstones()
+        ignored = len(candidates) - len(newer)
+        self.ignored_count += ignored
         if newer:
             self.batches.on_next(RecordBatch(newer, source))
+        return MergeCounts(len(newer), ignored)
 
     def get_revision(self, key: str) -> int:
         """Returns the revision of a key, 0 if it does not exist."""
--- a/src/verbenacross/feed/store_reader.py
+++ b/src/verbenacross/feed/store_reader.py
@@ -19,7 +19,7 @@
     from collections.abc import Callable
 
     from ..infrastructure.key_value_store import CheckedStore, StoreSnapshot
-    from .record_log import RecordLog
+    from .record_log import MergeCounts, RecordLog
 
 # Each long poll is one billed call. Its duration also bounds how long a connection that
 # no longer delivers data goes undetected.
@@ -98,8 +98,19 @@
         """Merges what changed since the local revision, without waiting for changes."""
         if self._revision == 0:
             self.call_count += 1
+            previous_revision = self._log.revision
             snapshot = await self._store.read_prefix(self._prefix)
-            self._merge_snapshot(snapshot, is_complete=True)
+            counts = self._merge_snapshot(snapshot, is_complete=True)
+            logger.info(
+                "read all records",
+                extra={
+                    "era": snapshot.era,
+                    "revision": snapshot.revision,
+                    "previous_revision": previous_revision,
+                    "taken": counts.taken,
+                    "ignored": counts.ignored,
+                },
+            )
             await asyncio.sleep(BATCH_DELAY_S)
             return
         # While the store is unavailable, a check costs less than a watch. A watch that
@@ -162,10 +173,12 @@
             return False
         return True
 
-    def _merge_snapshot(self, snapshot: StoreSnapshot, *, is_complete: bool) -> None:
+    def _merge_snapshot(
+        self, snapshot: StoreSnapshot, *, is_complete: bool
+    ) -> MergeCounts:
         self._record_contact()
         self._revision = snapshot.revision
-        self._log.merge(
+        return self._log.merge(
             snapshot.values, snapshot.revision, STORE_SOURCE, is_complete=is_complete
         )
 
--- a/src/verbenacross/feed/subscription.py
+++ b/src/verbenacross/feed/subscription.py
@@ -181,12 +181,12 @@
     def _handle_message(self, message: object) -> None:
         match message:
             case Update() if not self.is_standby:
-                self._record_status(message.is_fresh)
+                self._record_status(message.is_fresh, message.revision)
                 self._pending.append(message)
                 if self._is_usable(message):
                     self._merge_pending()
             case Status() if self.is_standby:
-                self._record_status(message.is_fresh)
+                self._record_status(message.is_fresh, message.revision)
                 if self._log.revision >= self._awaited_revision:
                     self._awaited_revision = message.revision
                     self._awaited_since = time.monotonic()
@@ -201,34 +201,51 @@
 
     def _merge_pending(self) -> None:
         for update in self._pending:
-            if update.is_complete:
-                logger.info(
-                    "received all records",
-                    extra={"peer": self.peer, "revision": update.revision},
-                )
             if update.records and not update.is_fresh:
                 self._on_records()
-            self._log.merge(
+            previous_revision = self._log.revision
+            counts = self._log.merge(
                 update.records,
                 update.revision,
                 self.peer,
                 is_complete=update.is_complete,
             )
+            if update.is_complete:
+                logger.info(
+                    "received all records",
+                    extra={
+                        "peer": self.peer,
+                        "revision": update.revision,
+                        "previous_revision": previous_revision,
+                        "taken": counts.taken,
+                        "ignored": counts.ignored,
+                    },
+                )
         self._pending.clear()
 
-    def _record_status(self, is_fresh: bool) -> None:
+    def _record_status(self, is_fresh: bool, revision: int) -> None:
         if is_fresh and not self._is_fresh:
             if not self.is_standby:
                 self._on_connected()
             self._lost_at = None
             logger.info(
                 "peer is connected to the store",
-                extra={"peer": self.peer, "is_standby": self.is_standby},
+                extra={
+                    "peer": self.peer,
+                    "is_standby": self.is_standby,
+                    "peer_revision": revision,
+                    "revision": self._log.revision,
+                },
             )
         elif not is_fresh and self._is_fresh:
             self._lost_at = time.monotonic()
             logger.info(
-                "peer lost its connection to the store", extra={"peer": self.peer}
+                "peer lost its connection to the store",
+                extra={
+                    "peer": self.peer,
+                    "peer_revision": revision,
+                    "revision": self._log.revision,
+                },
             )
         self._is_fresh = is_fresh
         self._last_message_at = time.monotonic()
--- a/src/verbenacross/feed/synchronizer.py
+++ b/src/verbenacross/feed/synchronizer.py
@@ -211,7 +211,10 @@
         if self._read_task is not None:
             self._read_task.cancel()
             self._read_task = None
-            extra = {"sources": [source.peer for source in self._subscriptions]}
+            extra = {
+                "sources": [source.peer for source in self._subscriptions],
+                "revision": self._log.revision,
+            }
             logger.info("receiving records from peers", extra=extra)
 
     def _update_subscriptions(self, members: list[Member], now: float) -> None:
--- a/src/verbenacross/infrastructure/key_value_store.py
+++ b/src/verbenacross/infrastructure/key_value_store.py
@@ -17,10 +17,15 @@
 
 
 class StoreSnapshot(NamedTuple):
-    """Values under a prefix, complete up to a revision of the whole store."""
+    """Values under a prefix, complete up to a revision of the whole store.
+
+    ``era`` rises by one each time the store is restored from a copy; revisions of
+    different eras cannot be compared.
+    """
 
     revision: int
     values: tuple[StoredValue, ...]
+    era: int = 0
 
 
 class KeyValueStore(Protocol):
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -75,7 +75,9 @@
         self.discovery = DiscoveryState()
         self.shutdown = Shutdown(settings)
         self.connections = CallerConnections(settings.max_descriptors)
-        store = PlatformStore(sessions.store, settings.store, STORE_TIMEOUT_S)
+        self.store = store = PlatformStore(
+            sessions.store, settings.store, STORE_TIMEOUT_S
+        )
         self.record_log = RecordLog()
         self.record_log.batches.subscribe(self._apply_batch)
         self.reader = StoreReader(store, WATCHED_PREFIX, self.record_log)
@@ -224,7 +226,9 @@
             "in_flight": self.shutdown.drain.in_flight,
             "store_connected": self.reader.is_connected,
             "is_fresh": self.synchronizer.is_fresh(),
+            "store_era": self.store.era,
             "revision": self.record_log.revision,
+            "ignored_records": self.record_log.ignored_count,
             "sources": self.synchronizer.describe_sources(),
             "knowledge": self.discovery.describe(),
             "services": self.balancers.describe(),
@@ -242,6 +246,9 @@
             ("store_connected", self.reader.is_connected),
             ("store_reads", self.reader.call_count),
             ("store_checks", self.reader.check_count),
+            ("store_era", self.store.era),
+            ("store_revision", self.record_log.revision),
+            ("ignored_records", self.record_log.ignored_count),
             ("subscribers", self.publisher.subscriber_count),
             ("is_fresh", self.synchronizer.is_fresh()),
             ("configuration_version", table.version if table else 0),
--- a/src/verbenacross/platform/store.py
+++ b/src/verbenacross/platform/store.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
+import logbook
 
 from ..documents.durations import format_milliseconds
 from ..infrastructure.exceptions import (
@@ -34,17 +35,23 @@
 CHECK_TIMEOUT_S = 0.4
 # A short key, which need not exist.
 CHECKED_KEY = "verbenacross/check"
+# How often the store has been restored from a copy; rises by one each time.
+ERA_HEADER = "Store-Era"
+MAX_ERA_DIGITS = 18
 # Pages are about 1 MB, and the changes of one watch a few values of up to 1 MB.
 MAX_RESPONSE_BYTES = 8_388_608
 # The platform's upper limit on the wait of a watch.
 MAX_WAIT_MS = 30_000
 
+logger = logbook.Logger("verbenacross.platform.store")
+
 
 class PlatformStore:
     """The platform's key-value store; implements ``CheckedStore``.
 
     Every call times out after ``timeout_s``, a watch after that plus its wait, so that
-    an unresponsive connection is detected and replaced.
+    an unresponsive connection is detected and replaced. ``era`` is the highest era of
+    its responses.
     """
 
     def __init__(
@@ -53,6 +60,7 @@
         self._session = session
         self._url = f"http://{address}/verbenacross/"
         self._timeout_s = timeout_s
+        self.era = 0
 
     async def get(self, key: str) -> StoredValue | None:
         """Returns the value of a key, or ``None`` when it is absent."""
@@ -75,7 +83,7 @@
             if revision is None:
                 revision = parse_integer(response, "at")
             if not response.get("truncated") or not page:
-                return StoreSnapshot(revision, tuple(values))
+                return StoreSnapshot(revision, tuple(values), self.era)
             params = {"path_prefix": prefix, "after": page[-1].key}
 
     async def watch(self, prefix: str, revision: int, wait_ms: int) -> StoreSnapshot:
@@ -101,7 +109,7 @@
                 f"changes after revision {revision} are no longer held"
             )
         return StoreSnapshot(
-            parse_integer(response, "at"), parse_values(response, "events")
+            parse_integer(response, "at"), parse_values(response, "events"), self.era
         )
 
     async def put(
@@ -183,6 +191,7 @@
                         response, MAX_RESPONSE_BYTES
                     )
                 status = response.status
+                self._record_era(response.headers.get(ERA_HEADER))
                 if not is_complete:
                     response.close()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
@@ -195,6 +204,28 @@
             raise StoreUnavailableError(f"{method} {path}: status {status}")
         return parse_response(status, content, f"{method} {path}")
 
+    def _record_era(self, text: str | None) -> None:
+        """Records the era of a response; a missing one is the last one known."""
+        if text is None:
+            return
+        era = parse_era(text)
+        if era is None:
+            logger.warning("unreadable era of the store", extra={"at": text[:40]})
+        elif era < self.era:
+            extra = {"era": era, "previous_era": self.era}
+            logger.warning("era of the store went back", extra=extra)
+        elif era > self.era:
+            extra = {"era": era, "previous_era": self.era}
+            logger.info("store era", extra=extra)
+            self.era = era
+
+
+def parse_era(text: str) -> int | None:
+    """Returns the era in a header, ``None`` if it is not a whole number."""
+    if text.isascii() and text.isdecimal() and len(text) <= MAX_ERA_DIGITS:
+        return int(text)
+    return None
+
 
 def parse_response(status: int, content: bytes, call: str) -> tuple[int, Any]:
     """Parses a response into status and object; raises ``StoreError`` if malformed."""
