Stand-in store: restore it from an older copy

Cause: no test could bring about the drill in which the store comes back from a copy some seconds old: a history that goes back, revisions and lease ids that are given out again, 410 for a watch from a revision that it does not have, and the header Store-Era. Change: make_copy and restore of the stand-in; every response names the era.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
@@ -17,6 +18,8 @@
 # Close to 0, as the HTTP library takes 0 to mean no limit.
 CLOSE_TIMEOUT_S = 0.01
 STORE_PATH = "/verbenacross/"
+# In each response; rises by one when the store is restored from a copy.
+ERA_HEADER = "Store-Era"
 
 Fault = Literal["", "busy", "many", "silent", "reset", "lose-answers", "endless"]
 
@@ -42,6 +45,18 @@
         }
 
 
+@dataclass
+class StoreCopy:
+    """Items, history and leases as they were when the copy was made."""
+
+    items: dict[str, Item]
+    revision: int
+    history: list[dict[str, Any]]
+    compacted_revision: int
+    last_lease: int
+    leases: dict[int, tuple[float, float]]
+
+
 @dataclass
 class StoreEndpoint:
     """An address of the store, the faults of its responses, and its calls so far."""
@@ -58,6 +73,9 @@
     def __init__(self) -> None:
         self.items: dict[str, Item] = {}
         self.revision = 1
+        self.era = 1
+        # Whether responses name the era.
+        self.sends_era = True
         self.history: list[dict[str, Any]] = []
         self.compacted_revision = 0
         self._last_lease = FIRST_LEASE - 1
@@ -116,8 +134,48 @@
             self.compacted_revision = self.revision
             self._changed.notify_all()
 
+    def make_copy(self) -> StoreCopy:
+        """Returns a copy that the store can be restored from later."""
+        return StoreCopy(
+            copy.deepcopy(self.items),
+            self.revision,
+            [*self.history],
+            self.compacted_revision,
+            self._last_lease,
+            dict(self._leases),
+        )
+
+    async def restore(self, saved: StoreCopy) -> None:
+        """Restores a copy: what was written since is lost, and a new era begins.
+
+        Revisions and lease ids are given out again. Leases of the copy run on from the
+        moment of the restoration. Waiting watches get 410 if they wait for changes
+        after a revision that the copy does not have, the others go on.
+        """
+        now = asyncio.get_running_loop().time()
+        async with self._changed:
+            self.items = copy.deepcopy(saved.items)
+            self.revision = saved.revision
+            self.history = [*saved.history]
+            self.compacted_revision = saved.compacted_revision
+            self._last_lease = saved.last_lease
+            self._leases = {
+                lease: (ttl_s, now + ttl_s)
+                for lease, (ttl_s, _) in saved.leases.items()
+            }
+            self.era += 1
+            self._changed.notify_all()
+
     async def _handle(
         self, endpoint: StoreEndpoint, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        response = await self._respond(endpoint, request)
+        if self.sends_era and not response.prepared:
+            response.headers[ERA_HEADER] = str(self.era)
+        return response
+
+    async def _respond(
+        self, endpoint: StoreEndpoint, request: web.BaseRequest
     ) -> web.StreamResponse:
         path = request.path.removeprefix(STORE_PATH)
         endpoint.calls.append(path)
@@ -186,22 +244,23 @@
 
     async def _watch(self, query: Any) -> web.Response:
         after = int(query["after"])
-        if after < self.compacted_revision:
+        if not self._has_history(after):
             return web.json_response({}, status=410)
         prefix = query["path_prefix"]
         try:
             async with asyncio.timeout(int(query["wait_ms"]) / 1000), self._changed:
-                while after >= self.compacted_revision and not self._find_events(
-                    prefix, after
-                ):
+                while self._has_history(after) and not self._find_events(prefix, after):
                     await self._changed.wait()
         except TimeoutError:
             return web.json_response({"events": [], "at": self.revision})
-        if after < self.compacted_revision:
+        if not self._has_history(after):
             return web.json_response({}, status=410)
         events = self._find_events(prefix, after)
         return web.json_response({"events": events, "at": self.revision})
 
+    def _has_history(self, after: int) -> bool:
+        return self.compacted_revision <= after <= self.revision
+
     def _find_events(self, prefix: str, after: int) -> list[dict[str, Any]]:
         return [
             event
