Stand-ins: reports of upstreams with a sequence, and reset of waiting calls

Each entry of the stand-in upstream had the sequence 1, while real servers raise it with each report; it now rises with each description and starts anew with another `born`. A fault of a stand-in store endpoint only met calls that came after it. An endpoint can now also reset the connections of calls that wait for a response, as when the store is lost.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -6,12 +6,15 @@
 import base64
 import copy
 import json
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, contextmanager
 from dataclasses import dataclass, field
-from typing import Any, Literal, NoReturn
+from typing import TYPE_CHECKING, Any, Literal, NoReturn
 
 from aiohttp import web
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 FIRST_LEASE = 77_120
 PAGE_ITEMS = 40
 ENDLESS_BLOCK_BYTES = 65_536
@@ -65,6 +68,23 @@
     fault: Fault = ""
     delay_s: float = 0.0
     calls: list[str] = field(default_factory=list)
+    _waiting: set[asyncio.Transport] = field(default_factory=set)
+
+    def reset_connections(self) -> None:
+        """Resets the connections of all calls that have no response yet."""
+        for transport in [*self._waiting]:
+            transport.abort()
+
+    @contextmanager
+    def track(self, request: web.BaseRequest) -> Iterator[None]:
+        """Lets ``reset_connections`` reset the connection of a call meanwhile."""
+        transport = request.transport
+        assert transport is not None
+        self._waiting.add(transport)
+        try:
+            yield
+        finally:
+            self._waiting.discard(transport)
 
 
 class PlatformStoreStandIn:
@@ -134,6 +154,10 @@
             self.compacted_revision = self.revision
             self._changed.notify_all()
 
+    def has_lease(self, lease: int) -> bool:
+        """Returns whether a lease was granted and has not ended."""
+        return lease in self._leases
+
     def make_copy(self) -> StoreCopy:
         """Returns a copy that the store can be restored from later."""
         return StoreCopy(
@@ -169,7 +193,8 @@
     async def _handle(
         self, endpoint: StoreEndpoint, request: web.BaseRequest
     ) -> web.StreamResponse:
-        response = await self._respond(endpoint, request)
+        with endpoint.track(request):
+            response = await self._respond(endpoint, request)
         if self.sends_era and not response.prepared:
             response.headers[ERA_HEADER] = str(self.era)
         return response
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -107,6 +107,9 @@
     connections: int = 0
     running: int = 0
     address: str = ""
+    # Reports of this start so far.
+    sequence: int = 0
+    _born: int = 1
 
     async def __aenter__(self) -> PlatformUpstreamStandIn:
         self._tasks: set[asyncio.Task[None]] = set()
@@ -123,7 +126,12 @@
             task.cancel()
 
     def describe(self, state: str = "ready", born: int = 1) -> dict[str, object]:
-        """Returns the entry that the server writes to the store."""
+        """Returns the next entry that the server writes to the store.
+
+        Each has a higher sequence than the last; another ``born`` starts it anew.
+        """
+        self.sequence = self.sequence + 1 if born == self._born else 1
+        self._born = born
         return {
             "address": self.address,
             "info": {
@@ -132,7 +140,7 @@
                 "zone": self.zone,
                 "max_concurrency": self.slots,
             },
-            "status": {"state": state, "sequence": 1, "warmup_left": "0ms"},
+            "status": {"state": state, "sequence": self.sequence, "warmup_left": "0ms"},
             "born": born,
         }
 
