Order what instances know by the store's era and revision

Callers saw: after the store had been away and had come back from an older copy, routes of confirmed configurations were refused or ran at the service of an older version, new upstreams got no requests, and draining ones still did.

Cause: records, positions of the feed, beliefs and registrations were ordered by the store's revision, which was taken to rise for ever. A restored store gives revisions out again, so everything written after its return counted as old until its revision had passed the one known before.

Change: the order is StorePosition (era, revision); the era comes from the store's header. Complete reads of a new era replace the record log; changes alone of it, and anything of an earlier era, are refused or ignored. The feed's messages carry the era; a source of an earlier era is not fresh. Registrations of an earlier era are written anew with a new lease, the old one is neither renewed nor revoked. The tests that call the log and the feed's messages pass positions; what they check is unchanged.

Why it works: within an era the old order holds; between eras nothing is compared by revision.

--- a/src/verbenacross/feed/codec.py
+++ b/src/verbenacross/feed/codec.py
@@ -44,12 +44,20 @@
     except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
         raise FeedError(f"frame is not valid CBOR: {error}") from error
     match parts:
-        case ["Subscribe", str(instance), int(revision), bool(is_standby)]:
-            return Subscribe(instance, revision, is_standby)
-        case ["Status", int(revision), bool(fresh)]:
-            return Status(revision, fresh)
-        case ["Update", int(revision), bool(complete), bool(fresh), list(records)]:
-            return Update(revision, complete, fresh, tuple(map(decode_record, records)))
+        case ["Subscribe", str(instance), int(era), int(revision), bool(is_standby)]:
+            return Subscribe(instance, era, revision, is_standby)
+        case ["Status", int(era), int(revision), bool(fresh)]:
+            return Status(era, revision, fresh)
+        case [
+            "Update",
+            int(era),
+            int(revision),
+            bool(complete),
+            bool(fresh),
+            list(records),
+        ]:
+            decoded = tuple(map(decode_record, records))
+            return Update(era, revision, complete, fresh, decoded)
     raise FeedError("unknown message type or malformed fields")
 
 
--- a/src/verbenacross/feed/publisher.py
+++ b/src/verbenacross/feed/publisher.py
@@ -21,6 +21,7 @@
     from websockets.asyncio.server import ServerConnection
 
     from ..documents.address import Address
+    from ..infrastructure.key_value_store import StorePosition
     from .record_log import RecordBatch, RecordLog
 
 # Longest interval between two messages to a subscriber, in seconds.
@@ -42,8 +43,8 @@
 class FrameKey(NamedTuple):
     """What an encoded update depends on."""
 
-    from_revision: int
-    to_revision: int
+    subscriber: StorePosition
+    own: StorePosition
     is_fresh: bool
 
 
@@ -117,6 +118,7 @@
                 "subscriber connected",
                 extra={
                     "peer": instance,
+                    "era": message.era,
                     "revision": message.revision,
                     "is_standby": message.is_standby,
                 },
@@ -126,7 +128,7 @@
             else:
                 self.receiver_count += 1
                 try:
-                    await self._publish(connection, message.revision)
+                    await self._publish(connection, message.position)
                 finally:
                     self.receiver_count -= 1
         except (ConnectionClosed, FeedError, TimeoutError, OSError) as error:
@@ -137,11 +139,13 @@
             self.subscriber_count -= 1
             self.last_subscriber_at = time.monotonic()
 
-    async def _publish(self, connection: ServerConnection, revision: int) -> None:
+    async def _publish(
+        self, connection: ServerConnection, position: StorePosition
+    ) -> None:
         while True:
             changed = self._changed
             if self._log.revision > 0:
-                frame, revision = self._encode_update(revision)
+                frame, position = self._encode_update(position)
                 async with asyncio.timeout(SEND_TIMEOUT_S):
                     await connection.send(split_frame(frame))
             await wait_for_event(changed, HEARTBEAT_S)
@@ -150,22 +154,26 @@
         while True:
             changed = self._freshness_changed
             if self._log.revision > 0:
-                status = Status(self._log.revision, self._is_fresh())
+                status = Status(*self._log.position, self._is_fresh())
                 async with asyncio.timeout(SEND_TIMEOUT_S):
                     await connection.send(encode_message(status))
             await wait_for_event(changed, STANDBY_HEARTBEAT_S)
 
-    def _encode_update(self, revision: int) -> tuple[bytes, int]:
-        """Returns an update from a revision on, and the revision that it reaches."""
-        key = FrameKey(revision, max(revision, self._log.revision), self._is_fresh())
+    def _encode_update(self, position: StorePosition) -> tuple[bytes, StorePosition]:
+        """Returns an update from a position on, and the position that it reaches."""
+        own = self._log.position
+        if own.era < position.era:
+            # These records are older than all that the subscriber has.
+            return encode_message(Update(*own, False, False, ())), position
+        key = FrameKey(position, max(position, own), self._is_fresh())
         frame = self._frames.get(key)
         if frame is None:
-            records, is_complete = self._log.get_records_since(revision)
-            update = Update(key.to_revision, is_complete, key.is_fresh, records)
+            records, is_complete = self._log.get_records_since(position)
+            update = Update(*key.own, is_complete, key.is_fresh, records)
             while len(self._frames) >= MAX_CACHED_FRAMES:
                 self._frames.pop(next(iter(self._frames)))
             frame = self._frames[key] = encode_message(update)
-        return frame, key.to_revision
+        return frame, key.own
 
 
 def split_frame(frame: bytes) -> bytes | list[bytes]:
--- a/src/verbenacross/feed/record_log.py
+++ b/src/verbenacross/feed/record_log.py
@@ -9,7 +9,12 @@
 
 from reactivex.subject import Subject
 
-from ..infrastructure.key_value_store import StoredValue
+from ..infrastructure.key_value_store import (
+    NO_POSITION,
+    StoredValue,
+    StorePosition,
+)
+from .exceptions import FeedError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -19,10 +24,16 @@
 
 
 class RecordBatch(NamedTuple):
-    """Records that were newer than the local copy, and the source they came from."""
+    """Records that were newer than the local copy, and their source.
+
+    ``is_restored`` means that they are all records of a store that has been restored
+    from a copy, as far as they were known or exist; others were changed since.
+    """
 
     records: tuple[StoredValue, ...]
     source: str
+    era: int
+    is_restored: bool = False
 
 
 class MergeCounts(NamedTuple):
@@ -43,15 +54,16 @@
 class RecordLog:
     """Local copy of the store's records, merged from the store and from peers.
 
-    ``revision`` is the store revision up to which the copy is complete; ``loaded`` is
-    set by the first merge. ``batches`` emits the records that changed the copy. An
-    older record never replaces a newer one. ``ignored_count`` counts those that were
-    merged and not newer.
+    ``position`` is the position of the store up to which the copy is complete;
+    ``loaded`` is set by the first merge. ``batches`` emits the records that changed the
+    copy. An older record never replaces a newer one, and records of an earlier era are
+    older than all of the current one. ``ignored_count`` counts those that were merged
+    and not newer.
     """
 
     def __init__(self) -> None:
         self.ignored_count = 0
-        self.revision = 0
+        self.position = NO_POSITION
         self.loaded = asyncio.Event()
         self.batches: Subject[RecordBatch] = Subject()
         self._records: dict[str, StoredValue] = {}
@@ -59,20 +71,38 @@
         # All deletions after this revision are known.
         self._compacted_revision = 0
 
+    @property
+    def revision(self) -> int:
+        """The revision of ``position``."""
+        return self.position.revision
+
     def merge(
         self,
         records: Iterable[StoredValue],
-        revision: int,
+        position: StorePosition,
         source: str,
         *,
         is_complete: bool,
     ) -> MergeCounts:
-        """Merges records that are complete up to a revision.
+        """Merges records that are complete up to a position.
 
-        With ``is_complete``, ``records`` are all records at that revision, so every
+        With ``is_complete``, ``records`` are all records at that position, so every
         other key is deleted; otherwise they are the changes since an earlier one.
+        Raises ``FeedError`` for changes in an era whose other records are unknown.
         """
         candidates = {record.key: record for record in records}
+        if position.era < self.position.era:
+            self.ignored_count += len(candidates)
+            return MergeCounts(0, len(candidates))
+        is_restored = position.era > self.position.era
+        if is_restored:
+            if not is_complete:
+                raise FeedError(
+                    f"changes of era {position.era} cannot be merged into records of "
+                    f"era {self.position.era}"
+                )
+            self._begin_era(position.era)
+        revision = position.revision
         if is_complete:
             for key, known in self._records.items():
                 is_older = known.value is not None and known.revision <= revision
@@ -87,13 +117,13 @@
             # Records that were written and deleted since the previous revision are not
             # among these.
             self._compacted_revision = revision
-        self.revision = max(self.revision, revision)
+        self.position = max(self.position, position)
         self.loaded.set()
         self._expire_tombstones()
         ignored = len(candidates) - len(newer)
         self.ignored_count += ignored
         if newer:
-            self.batches.on_next(RecordBatch(newer, source))
+            self.batches.on_next(RecordBatch(newer, source, position.era, is_restored))
         return MergeCounts(len(newer), ignored)
 
     def get_revision(self, key: str) -> int:
@@ -101,14 +131,21 @@
         record = self._records.get(key)
         return record.revision if record and record.value is not None else 0
 
-    def get_records_since(self, revision: int) -> tuple[tuple[StoredValue, ...], bool]:
-        """Returns records changed after a revision, and whether these are all records.
+    def get_records_since(
+        self, position: StorePosition
+    ) -> tuple[tuple[StoredValue, ...], bool]:
+        """Returns records changed after a position, and whether these are all records.
 
-        All records are returned for revision 0, and for a revision after which
-        deletions may be unknown: they have expired, or preceded the last complete
-        merge.
+        All records are returned for revision 0, for a position of another era, and for
+        one after which deletions may be unknown: they have expired, or preceded the
+        last complete merge.
         """
-        if revision == 0 or revision < self._compacted_revision:
+        era, revision = position
+        if (
+            era != self.position.era
+            or revision == 0
+            or revision < self._compacted_revision
+        ):
             existing = (
                 record for record in self._records.values() if record.value is not None
             )
@@ -118,6 +155,17 @@
         )
         return tuple(changed), False
 
+    def _begin_era(self, era: int) -> None:
+        """Makes the known records older than any record of a new era."""
+        self.position = StorePosition(era, 0)
+        self._records = {
+            key: record._replace(revision=0)
+            for key, record in self._records.items()
+            if record.value is not None
+        }
+        self._tombstones.clear()
+        self._compacted_revision = 0
+
     def _is_new(self, record: StoredValue) -> bool:
         known = self._records.get(record.key)
         # The copy is complete up to its revision, so an older record of an absent key
--- a/src/verbenacross/feed/store_reader.py
+++ b/src/verbenacross/feed/store_reader.py
@@ -14,6 +14,7 @@
     StoreError,
     StoreUnavailableError,
 )
+from ..infrastructure.key_value_store import NO_POSITION
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -62,7 +63,7 @@
         self._prefix = prefix
         self._log = log
         self._lost_at = 0.0
-        self._revision = 0
+        self._position = NO_POSITION
         self.on_connected: Callable[[], None] = lambda: None
         self.on_lost: Callable[[], None] = lambda: None
 
@@ -73,7 +74,7 @@
 
     async def run(self) -> None:
         """Reads and watches the store until cancelled; retries with backoff."""
-        self._revision = self._log.revision
+        self._position = self._log.position
         backoff_s = INITIAL_BACKOFF_S
         try:
             while True:
@@ -84,7 +85,7 @@
                 except HistoryLostError as error:
                     extra = {"at": str(error)}
                     logger.info("store history lost, reading all records", extra=extra)
-                    self._revision = 0
+                    self._handle_lost_history()
                 except StoreError as error:
                     self._record_loss(error)
                     await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
@@ -94,11 +95,18 @@
             self.is_connected = False
             self.is_failing = False
 
+    def _handle_lost_history(self) -> None:
+        """Continues from the records of a peer in a later era, else reads all."""
+        if self._log.position.era > self._position.era:
+            self._position = self._log.position
+        else:
+            self._position = NO_POSITION
+
     async def _catch_up(self) -> None:
-        """Merges what changed since the local revision, without waiting for changes."""
-        if self._revision == 0:
+        """Merges what changed since the local position, without waiting for changes."""
+        if self._position == NO_POSITION:
             self.call_count += 1
-            previous_revision = self._log.revision
+            previous = self._log.position
             snapshot = await self._store.read_prefix(self._prefix)
             counts = self._merge_snapshot(snapshot, is_complete=True)
             logger.info(
@@ -106,7 +114,8 @@
                 extra={
                     "era": snapshot.era,
                     "revision": snapshot.revision,
-                    "previous_revision": previous_revision,
+                    "previous_era": previous.era,
+                    "previous_revision": previous.revision,
                     "taken": counts.taken,
                     "ignored": counts.ignored,
                 },
@@ -116,8 +125,7 @@
         # While the store is unavailable, a check costs less than a watch. A watch that
         # waits would delay the moment at which subscribers learn that this instance is
         # connected.
-        self.check_count += 1
-        await self._store.check()
+        await self._check()
         if await self._watch(wait_ms=0):
             await asyncio.sleep(BATCH_DELAY_S)
 
@@ -143,7 +151,9 @@
     async def _watch(self, wait_ms: int) -> bool:
         """Merges the next changes; returns whether there were any."""
         self.call_count += 1
-        snapshot = await self._store.watch(self._prefix, self._revision, wait_ms)
+        revision = self._position.revision
+        snapshot = await self._store.watch(self._prefix, revision, wait_ms)
+        self._compare_era(snapshot.era)
         self._merge_snapshot(snapshot, is_complete=False)
         return bool(snapshot.values)
 
@@ -163,11 +173,24 @@
                     raise StoreUnavailableError("watch connection no longer responds")
                 self._last_contact_at = time.monotonic()
 
+    async def _check(self) -> None:
+        """Checks that the store responds; raises ``HistoryLostError`` in a new era."""
+        self.check_count += 1
+        self._compare_era(await self._store.check())
+
+    def _compare_era(self, era: int) -> None:
+        if era > self._position.era:
+            raise HistoryLostError(
+                f"the store was restored from a copy: era {era}, "
+                f"records are of era {self._position.era}"
+            )
+
     async def _is_reachable(self) -> bool:
         """Returns whether the store answers; the check after a failure reconnects."""
-        self.check_count += 1
         try:
-            await self._store.check()
+            await self._check()
+        except HistoryLostError:
+            raise
         except StoreError as error:
             self._record_loss(error)
             return False
@@ -176,10 +199,15 @@
     def _merge_snapshot(
         self, snapshot: StoreSnapshot, *, is_complete: bool
     ) -> MergeCounts:
+        era = self._log.position.era
+        if snapshot.era < era:
+            raise StoreUnavailableError(
+                f"response of era {snapshot.era}, a peer has sent records of era {era}"
+            )
         self._record_contact()
-        self._revision = snapshot.revision
+        self._position = snapshot.position
         return self._log.merge(
-            snapshot.values, snapshot.revision, STORE_SOURCE, is_complete=is_complete
+            snapshot.values, snapshot.position, STORE_SOURCE, is_complete=is_complete
         )
 
     def _record_contact(self) -> None:
--- a/src/verbenacross/feed/subscription.py
+++ b/src/verbenacross/feed/subscription.py
@@ -10,6 +10,7 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
+from ..infrastructure.key_value_store import NO_POSITION
 from .codec import MAX_MESSAGE_BYTES, decode_message, encode_message
 from .exceptions import FeedError
 from .messages import Status, Subscribe, Update
@@ -95,9 +96,9 @@
         self._peer_start_timeout_s = (
             STANDBY_PEER_START_TIMEOUT_S if is_standby else PEER_START_TIMEOUT_S
         )
-        # The first revision of a standby peer that the local records have not reached,
+        # The first position of a standby peer that the local records have not reached,
         # and when the peer reported it.
-        self._awaited_revision = 0
+        self._awaited_position = NO_POSITION
         self._awaited_since = 0.0
 
     def is_fresh(self) -> bool:
@@ -109,7 +110,7 @@
 
     def get_lead_s(self) -> float:
         """Returns for how long a standby peer has had newer records, in seconds."""
-        if self._log.revision >= self._awaited_revision or not self.is_fresh():
+        if self._log.position >= self._awaited_position or not self.is_fresh():
             return 0.0
         return time.monotonic() - self._awaited_since
 
@@ -155,7 +156,7 @@
             return
         try:
             subscribe = Subscribe(
-                self._own_instance, self._log.revision, self.is_standby
+                self._own_instance, *self._log.position, self.is_standby
             )
             await connection.send(encode_message(subscribe))
             while True:
@@ -181,14 +182,16 @@
     def _handle_message(self, message: object) -> None:
         match message:
             case Update() if not self.is_standby:
-                self._record_status(message.is_fresh, message.revision)
+                self._record_status(message)
+                if message.era < self._log.position.era:
+                    return
                 self._pending.append(message)
                 if self._is_usable(message):
                     self._merge_pending()
             case Status() if self.is_standby:
-                self._record_status(message.is_fresh, message.revision)
-                if self._log.revision >= self._awaited_revision:
-                    self._awaited_revision = message.revision
+                self._record_status(message)
+                if self._log.position >= self._awaited_position:
+                    self._awaited_position = message.position
                     self._awaited_since = time.monotonic()
             case _:
                 raise FeedError(f"unexpected {type(message).__name__}")
@@ -206,7 +209,7 @@
             previous_revision = self._log.revision
             counts = self._log.merge(
                 update.records,
-                update.revision,
+                update.position,
                 self.peer,
                 is_complete=update.is_complete,
             )
@@ -215,6 +218,7 @@
                     "received all records",
                     extra={
                         "peer": self.peer,
+                        "era": update.era,
                         "revision": update.revision,
                         "previous_revision": previous_revision,
                         "taken": counts.taken,
@@ -223,7 +227,9 @@
                 )
         self._pending.clear()
 
-    def _record_status(self, is_fresh: bool, revision: int) -> None:
+    def _record_status(self, message: Update | Status) -> None:
+        # Records of an earlier era do not match the store.
+        is_fresh = message.is_fresh and message.era >= self._log.position.era
         if is_fresh and not self._is_fresh:
             if not self.is_standby:
                 self._on_connected()
@@ -233,7 +239,9 @@
                 extra={
                     "peer": self.peer,
                     "is_standby": self.is_standby,
-                    "peer_revision": revision,
+                    "peer_era": message.era,
+                    "peer_revision": message.revision,
+                    "era": self._log.position.era,
                     "revision": self._log.revision,
                 },
             )
@@ -243,7 +251,9 @@
                 "peer lost its connection to the store",
                 extra={
                     "peer": self.peer,
-                    "peer_revision": revision,
+                    "peer_era": message.era,
+                    "peer_revision": message.revision,
+                    "era": self._log.position.era,
                     "revision": self._log.revision,
                 },
             )
--- a/src/verbenacross/infrastructure/key_value_store.py
+++ b/src/verbenacross/infrastructure/key_value_store.py
@@ -16,21 +16,38 @@
     revision: int
 
 
-class StoreSnapshot(NamedTuple):
-    """Values under a prefix, complete up to a revision of the whole store.
+class StorePosition(NamedTuple):
+    """A moment in the life of the store; positions are ordered by time.
 
-    ``era`` rises by one each time the store is restored from a copy; revisions of
-    different eras cannot be compared.
+    ``era`` rises by one each time the store is restored from a copy. The store then
+    gives out revisions again, so revisions of different eras cannot be compared.
     """
 
+    era: int
+    revision: int
+
+
+NO_POSITION = StorePosition(0, 0)
+
+
+class StoreSnapshot(NamedTuple):
+    """Values under a prefix, complete up to a revision of the whole store."""
+
     revision: int
     values: tuple[StoredValue, ...]
     era: int = 0
 
+    @property
+    def position(self) -> StorePosition:
+        """The position up to which the values are complete."""
+        return StorePosition(self.era, self.revision)
+
 
 class KeyValueStore(Protocol):
     """Key-value store with compare-and-swap, leases and watches.
 
+    A response of an earlier era than a response before it is treated as lost.
+
     Every method raises ``StoreUnavailableError`` when the store cannot be reached or
     its response is lost; a write may then have taken effect.
     """
@@ -72,7 +89,17 @@
 
 
 class CheckedStore(KeyValueStore, Protocol):
-    """A key-value store with an inexpensive availability check."""
+    """A key-value store with eras and an inexpensive availability check.
+
+    ``era`` is the highest era of its responses.
+    """
 
-    async def check(self) -> None:
-        """Raises ``StoreUnavailableError`` if the store does not respond."""
+    @property
+    def era(self) -> int:
+        """The highest era of the store's responses."""
+
+    async def check(self) -> int:
+        """Returns the store's era.
+
+        Raises ``StoreUnavailableError`` if the store does not respond.
+        """
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -75,9 +75,7 @@
         self.discovery = DiscoveryState()
         self.shutdown = Shutdown(settings)
         self.connections = CallerConnections(settings.max_descriptors)
-        self.store = store = PlatformStore(
-            sessions.store, settings.store, STORE_TIMEOUT_S
-        )
+        store = PlatformStore(sessions.store, settings.store, STORE_TIMEOUT_S)
         self.record_log = RecordLog()
         self.record_log.batches.subscribe(self._apply_batch)
         self.reader = StoreReader(store, WATCHED_PREFIX, self.record_log)
@@ -95,7 +93,7 @@
             self.publisher,
             self.record_log,
             self.discovery.get_members,
-            self.discovery.start_reregistration_grace,
+            self.discovery.upstreams.start_reregistration_grace,
             is_first_start=settings.is_first_start,
         )
         self.registration = Registration(
@@ -226,7 +224,7 @@
             "in_flight": self.shutdown.drain.in_flight,
             "store_connected": self.reader.is_connected,
             "is_fresh": self.synchronizer.is_fresh(),
-            "store_era": self.store.era,
+            "store_era": self.record_log.position.era,
             "revision": self.record_log.revision,
             "ignored_records": self.record_log.ignored_count,
             "sources": self.synchronizer.describe_sources(),
@@ -246,7 +244,7 @@
             ("store_connected", self.reader.is_connected),
             ("store_reads", self.reader.call_count),
             ("store_checks", self.reader.check_count),
-            ("store_era", self.store.era),
+            ("store_era", self.record_log.position.era),
             ("store_revision", self.record_log.revision),
             ("ignored_records", self.record_log.ignored_count),
             ("subscribers", self.publisher.subscriber_count),
@@ -277,11 +275,14 @@
         return self.metrics.registry
 
     def _apply_batch(self, batch: RecordBatch) -> None:
+        self.discovery.begin_era(batch.era)
         for record in batch.records:
             try:
                 change = decode_change(record)
                 if change is not None:
-                    self.discovery.apply(change, batch.source)
+                    self.discovery.apply(
+                        change, batch.source, is_restored=batch.is_restored
+                    )
             except Exception:
                 # The source must not end, nor the other records be lost, because of a
                 # record that this version does not handle.
--- a/src/verbenacross/node/registration.py
+++ b/src/verbenacross/node/registration.py
@@ -13,6 +13,7 @@
     LeaseLostError,
     StoreConflictError,
     StoreError,
+    StoreUnavailableError,
 )
 
 if TYPE_CHECKING:
@@ -21,7 +22,7 @@
     from ..feed.members import Member
     from ..feed.record_log import RecordLog
     from ..feed.synchronizer import Synchronizer
-    from ..infrastructure.key_value_store import KeyValueStore
+    from ..infrastructure.key_value_store import CheckedStore
 
 # An instance that ended without revoking its lease stays a member for this time. Others
 # replace it sooner as a source, and a restart within this time does not change the
@@ -37,6 +38,9 @@
 # and a share of REGISTRATION_SPREAD_S, in seconds. After a restart all read the store
 # until they have connected to the members.
 SOURCE_DELAY_S = 1.0
+# After the store has been restored from a copy, registered instances write their
+# records again within this time, in seconds.
+RESTORATION_SPREAD_S = 0.5
 # The reported number of instances follows an increase or a decrease that lasts for this
 # time, in seconds. After the loss of a source, its subscribers are counted twice until
 # its record expires.
@@ -60,7 +64,7 @@
 
     def __init__(
         self,
-        store: KeyValueStore,
+        store: CheckedStore,
         log: RecordLog,
         synchronizer: Synchronizer,
         get_members: Callable[[], list[Member]],
@@ -74,6 +78,10 @@
         self._key = prefix + member.instance
         self._member = member
         self._lease: str | None = None
+        # The store's era in which the lease was granted.
+        self._lease_era = 0
+        # Whether the lease was lost because the store was restored from a copy.
+        self._is_restoring = False
         self._revision = 0
         self._renew_at = 0.0
         # Since when too few members rank before this instance.
@@ -103,28 +111,54 @@
             await asyncio.sleep(UPDATE_INTERVAL_S)
 
     async def close(self) -> None:
-        """Removes the record by revoking its lease."""
+        """Removes the record by revoking its lease.
+
+        A lease of an earlier era is left alone, as another instance may have been
+        granted a lease with the same id since.
+        """
         if self._lease is None:
             return
         try:
+            await self._store.check()
+            if self._get_era() > self._lease_era:
+                logger.info("registration lease is of an earlier era")
+                return
             await self._store.revoke_lease(self._lease)
         except StoreError as error:
             # The lease expires anyway.
             logger.info("registration not removed", extra={"reason": repr(error)})
 
     async def _update(self, now: float) -> None:
+        if self._lease is not None and self._get_era() > self._lease_era:
+            await self._forget_lease()
         if self._lease is None:
-            if self._is_needed(now):
+            if self._is_restoring or self._is_needed(now):
                 await self._register(now)
             return
         if now >= self._renew_at:
             self._schedule_renewal(now)
             await self._renew()
+            if self._get_era() > self._lease_era:
+                return
             now = asyncio.get_running_loop().time()
         count = self._synchronizer.count_instances()
         if self._has_changed(count, now):
             await self._report(count, self._revision, self._lease)
 
+    def _get_era(self) -> int:
+        """Returns the store's era, as seen by this instance or by its source."""
+        return max(self._store.era, self._log.position.era)
+
+    async def _forget_lease(self) -> None:
+        """Forgets lease and revision of an earlier era, which may now be another's."""
+        logger.info(
+            "registration is of an earlier era",
+            extra={"lease": self._lease, "era": self._get_era()},
+        )
+        self._lease = None
+        self._is_restoring = True
+        await asyncio.sleep(RESTORATION_SPREAD_S * spread(self._member.instance))
+
     def _is_needed(self, now: float) -> bool:
         members = self._get_members()
         if any(member.instance == self._member.instance for member in members):
@@ -169,6 +203,9 @@
 
     async def _register(self, now: float) -> None:
         lease = await self._store.grant_lease(LEASE_TTL_MS)
+        lease_era = self._store.era
+        if lease_era < self._log.position.era:
+            raise StoreUnavailableError(f"lease {lease} is of an earlier era")
         # The subscribers come back after a restart, or after an outage of the store in
         # which the lease expired; the current number is not settled yet.
         known = [
@@ -179,12 +216,21 @@
         if self._revision > 0:
             known.append(self._member.instances)
         count = max(known) if known else self._synchronizer.count_instances()
-        await self._report(count, self._log.get_revision(self._key), lease)
+        is_current = self._log.position.era == lease_era
+        expected = self._log.get_revision(self._key) if is_current else 0
+        await self._report(count, expected, lease)
         self._lease = lease
+        self._lease_era = lease_era
+        self._is_restoring = False
         self._schedule_renewal(now)
         logger.info(
             "registered",
-            extra={"revision": self._revision, "lease": lease, "instances": count},
+            extra={
+                "era": lease_era,
+                "revision": self._revision,
+                "lease": lease,
+                "instances": count,
+            },
         )
 
     async def _report(self, count: int, expected: int, lease: str) -> None:
--- a/src/verbenacross/platform/server_entries.py
+++ b/src/verbenacross/platform/server_entries.py
@@ -12,6 +12,7 @@
 MAX_SLOTS = 1_000_000
 MAX_COLD_START_S = 86_400.0
 MAX_TIME_MS = 1 << 53
+MAX_SEQUENCE = 1 << 53
 
 
 def decode_server(identifier: str, data: bytes) -> Upstream:
@@ -37,8 +38,9 @@
         cold_start_s=status.get_duration(
             "warmup_left", default="0ms", maximum_s=MAX_COLD_START_S
         ),
-        # The server's report counter ``sequence`` restarts when ``born`` changes.
         started_ms=root.get_int("born", 0, default=0, maximum=MAX_TIME_MS),
+        # Restarts when ``born`` changes.
+        sequence=status.get_int("sequence", 0, default=0, maximum=MAX_SEQUENCE),
     )
     document.finish()
     return upstream
--- a/src/verbenacross/platform/store.py
+++ b/src/verbenacross/platform/store.py
@@ -4,7 +4,7 @@
 
 import base64
 import json
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import aiohttp
 import logbook
@@ -18,7 +18,11 @@
     StoreError,
     StoreUnavailableError,
 )
-from ..infrastructure.key_value_store import StoredValue, StoreSnapshot
+from ..infrastructure.key_value_store import (
+    StoredValue,
+    StorePosition,
+    StoreSnapshot,
+)
 from ..transport.response_body import read_limited
 
 if TYPE_CHECKING:
@@ -38,6 +42,9 @@
 # How often the store has been restored from a copy; rises by one each time.
 ERA_HEADER = "Store-Era"
 MAX_ERA_DIGITS = 18
+# Responses of an earlier era in a row after which that era is believed: more than can
+# have been under way when the later one began.
+MAX_EARLIER_RESPONSES = 10
 # Pages are about 1 MB, and the changes of one watch a few values of up to 1 MB.
 MAX_RESPONSE_BYTES = 8_388_608
 # The platform's upper limit on the wait of a watch.
@@ -46,6 +53,14 @@
 logger = logbook.Logger("verbenacross.platform.store")
 
 
+class StoreResponse(NamedTuple):
+    """A response of the store, and the era in which the store sent it."""
+
+    status: int
+    body: Any
+    era: int
+
+
 class PlatformStore:
     """The platform's key-value store; implements ``CheckedStore``.
 
@@ -61,10 +76,11 @@
         self._url = f"http://{address}/verbenacross/"
         self._timeout_s = timeout_s
         self.era = 0
+        self._earlier_responses = 0
 
     async def get(self, key: str) -> StoredValue | None:
         """Returns the value of a key, or ``None`` when it is absent."""
-        status, response = await self._call("GET", "kv-key", {"key": key})
+        status, response, _ = await self._call("GET", "kv-key", {"key": key})
         return None if status == HTTP_NOT_FOUND else parse_value(response)
 
     async def read_prefix(self, prefix: str) -> StoreSnapshot:
@@ -72,18 +88,24 @@
 
         The pages are not a consistent snapshot, so the revision is that of the first
         page: a watch from there repeats the changes made while the rest was read.
+        Raises ``HistoryLostError`` if the store is restored from a copy meanwhile.
         """
         values: list[StoredValue] = []
-        revision: int | None = None
+        position: StorePosition | None = None
         params = {"path_prefix": prefix}
         while True:
-            _, response = await self._call("GET", "kv-range", params)
+            _, response, era = await self._call("GET", "kv-range", params)
             page = parse_values(response, "items")
             values += page
-            if revision is None:
-                revision = parse_integer(response, "at")
+            if position is None:
+                position = StorePosition(era, parse_integer(response, "at"))
+            if era != position.era:
+                raise HistoryLostError(
+                    f"the store began era {era} while records of era {position.era} "
+                    "were read"
+                )
             if not response.get("truncated") or not page:
-                return StoreSnapshot(revision, tuple(values), self.era)
+                return StoreSnapshot(position.revision, tuple(values), position.era)
             params = {"path_prefix": prefix, "after": page[-1].key}
 
     async def watch(self, prefix: str, revision: int, wait_ms: int) -> StoreSnapshot:
@@ -96,7 +118,7 @@
         }
         extra_s = wait_ms / MS_PER_S
         try:
-            status, response = await self._call(
+            status, response, era = await self._call(
                 "GET", "kv-watch", params, extra_s=extra_s
             )
         except ResponseTooLargeError as error:
@@ -109,7 +131,7 @@
                 f"changes after revision {revision} are no longer held"
             )
         return StoreSnapshot(
-            parse_integer(response, "at"), parse_values(response, "events"), self.era
+            parse_integer(response, "at"), parse_values(response, "events"), era
         )
 
     async def put(
@@ -128,12 +150,12 @@
     async def grant_lease(self, ttl_ms: int) -> str:
         """Returns the id of a new lease that lives for ``ttl_ms`` milliseconds."""
         body = {"ttl_time": format_milliseconds(ttl_ms / MS_PER_S)}
-        _, response = await self._call("POST", "kv-lease", body=body)
+        _, response, _ = await self._call("POST", "kv-lease", body=body)
         return str(parse_integer(response, "lease"))
 
     async def renew_lease(self, lease: str) -> None:
         """Restarts the lifetime of a lease; raises ``LeaseLostError`` if expired."""
-        status, _ = await self._call("POST", f"kv-keep/{lease}")
+        status, _, _ = await self._call("POST", f"kv-keep/{lease}")
         if status == HTTP_NOT_FOUND:
             raise LeaseLostError(f"lease {lease} has lapsed")
 
@@ -141,14 +163,17 @@
         """Ends a lease and deletes the keys written with it."""
         await self._call("DELETE", f"kv-lease-end/{lease}")
 
-    async def check(self) -> None:
-        """Checks that the store responds, at a tenth of the cost of a call.
+    async def check(self) -> int:
+        """Returns the store's era, at a tenth of the cost of a call.
 
         Raises ``StoreUnavailableError`` after ``CHECK_TIMEOUT_S`` without a response.
         """
         params = {"key": CHECKED_KEY, "allow_stale": "1"}
         extra_s = CHECK_TIMEOUT_S - self._timeout_s
-        await self._call("GET", "kv-key", params, extra_s=extra_s)
+        response = await self._call(
+            "GET", "kv-key", params, extra_s=extra_s, may_be_stale=True
+        )
+        return response.era
 
     async def _change(
         self, key: str, expected: int, *, writes: list[Any], deletes: list[str]
@@ -158,7 +183,7 @@
             "writes": writes,
             "deletes": deletes,
         }
-        status, response = await self._call("POST", "kv-txn", body=body)
+        status, response, _ = await self._call("POST", "kv-txn", body=body)
         if status == HTTP_NOT_FOUND:
             raise LeaseLostError(f"the lease of key {key!r} has lapsed")
         if status == HTTP_PRECONDITION_FAILED:
@@ -175,7 +200,8 @@
         *,
         body: dict[str, Any] | None = None,
         extra_s: float = 0.0,
-    ) -> tuple[int, Any]:
+        may_be_stale: bool = False,
+    ) -> StoreResponse:
         timeout = aiohttp.ClientTimeout(
             total=self._timeout_s + extra_s, sock_connect=self._timeout_s
         )
@@ -191,33 +217,48 @@
                         response, MAX_RESPONSE_BYTES
                     )
                 status = response.status
-                self._record_era(response.headers.get(ERA_HEADER))
+                era_text = response.headers.get(ERA_HEADER)
                 if not is_complete:
                     response.close()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise StoreUnavailableError(f"{method} {path}: {error!r}") from error
+        era = self._record_era(era_text, may_be_stale=may_be_stale)
         if not is_complete:
             raise ResponseTooLargeError(
                 f"{method} {path}: the answer is longer than {MAX_RESPONSE_BYTES} bytes"
             )
         if status >= HTTP_SERVER_ERROR or status == HTTP_TOO_MANY_REQUESTS:
             raise StoreUnavailableError(f"{method} {path}: status {status}")
-        return parse_response(status, content, f"{method} {path}")
+        return StoreResponse(*parse_response(status, content, f"{method} {path}"), era)
+
+    def _record_era(self, text: str | None, *, may_be_stale: bool) -> int:
+        """Records the era of a response; returns the latest one.
 
-    def _record_era(self, text: str | None) -> None:
-        """Records the era of a response; a missing one is the last one known."""
+        A missing or unreadable one is the last one known. Raises
+        ``StoreUnavailableError`` if it is lower than that, unless the response may be
+        older than the call. A lower era is believed once it has come for long, as the
+        higher one was a mistake then.
+        """
         if text is None:
-            return
+            return self.era
         era = parse_era(text)
         if era is None:
             logger.warning("unreadable era of the store", extra={"at": text[:40]})
-        elif era < self.era:
-            extra = {"era": era, "previous_era": self.era}
-            logger.warning("era of the store went back", extra=extra)
-        elif era > self.era:
+            return self.era
+        if may_be_stale and era < self.era:
+            return self.era
+        if era < self.era and self._earlier_responses < MAX_EARLIER_RESPONSES:
+            if self._earlier_responses == 0:
+                extra = {"era": era, "previous_era": self.era}
+                logger.warning("era of the store went back", extra=extra)
+            self._earlier_responses += 1
+            raise StoreUnavailableError(f"response of era {era} after era {self.era}")
+        self._earlier_responses = 0
+        if era != self.era:
             extra = {"era": era, "previous_era": self.era}
             logger.info("store era", extra=extra)
             self.era = era
+        return era
 
 
 def parse_era(text: str) -> int | None:
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -18,6 +18,7 @@
 
     def __init__(self, clock: FakeClock) -> None:
         self.clock = clock
+        self.era = 0
         self.down = False
         self.lose: list[str] = []
         self.calls = 0
@@ -40,6 +41,10 @@
             self.lose.remove(call)
             raise StoreUnavailableError("response lost")
 
+    async def check(self) -> int:
+        self._begin()
+        return self.era
+
     async def read_prefix(self, prefix: str) -> StoreSnapshot:
         self._begin()
         values = tuple(StoredValue(k, v[0], v[1]) for k, v in self.values.items())
--- a/tests/feed/test_codec.py
+++ b/tests/feed/test_codec.py
@@ -26,11 +26,12 @@
 )
 REVISIONS = st.integers(0, 2**53)
 MESSAGES = (
-    st.builds(Subscribe, st.text(), REVISIONS, st.booleans())
-    | st.builds(Status, REVISIONS, st.booleans())
+    st.builds(Subscribe, st.text(), REVISIONS, REVISIONS, st.booleans())
+    | st.builds(Status, REVISIONS, REVISIONS, st.booleans())
     | st.builds(
         Update,
         REVISIONS,
+        REVISIONS,
         st.booleans(),
         st.booleans(),
         st.lists(RECORDS).map(tuple),
@@ -52,12 +53,15 @@
 @pytest.mark.parametrize(
     "parts",
     [
-        ["Subscribe", 1, 2],
-        ["Subscribe", "node", 2, "yes"],
-        ["Status", 1],
-        ["Status", "1", True],
-        ["Update", 1, True, True, [["key", "text", 1]]],
-        ["Update", 1, True, True],
+        ["Subscribe", 1, 1, 2],
+        ["Subscribe", "node", 2, True],
+        ["Subscribe", "node", 1, 2, "yes"],
+        ["Status", 1, 1],
+        ["Status", 1, True],
+        ["Status", 1, "1", True],
+        ["Update", 1, 1, True, True, [["key", "text", 1]]],
+        ["Update", 1, 1, True, True],
+        ["Update", 1, True, True, []],
         ["Other"],
         {},
     ],
@@ -73,7 +77,7 @@
 
 
 def build_update(value: bytes) -> Update:
-    return Update(7, False, True, (StoredValue("op/config", value, 7),))
+    return Update(1, 7, False, True, (StoredValue("op/config", value, 7),))
 
 
 def test_configuration_with_many_routes_is_compressed():
--- a/tests/feed/test_record_log.py
+++ b/tests/feed/test_record_log.py
@@ -7,7 +7,11 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from verbenacross.feed.record_log import RecordLog
-from verbenacross.infrastructure.key_value_store import StoredValue
+from verbenacross.infrastructure.key_value_store import (
+    NO_POSITION,
+    StoredValue,
+    StorePosition,
+)
 
 KEYS = st.sampled_from(["a", "b", "c"])
 
@@ -50,7 +54,9 @@
     def read_all(self, index):
         revision = len(self.history)
         state = self.get_state(revision)
-        self.logs[index].merge(state.values(), revision, "store", is_complete=True)
+        self.logs[index].merge(
+            state.values(), StorePosition(0, revision), "store", is_complete=True
+        )
 
     @rule(index=LOGS, lag=st.integers(0, 5))
     def read_all_late(self, index, lag):
@@ -59,7 +65,9 @@
         if revision == 0:
             return
         state = self.get_state(revision)
-        self.logs[index].merge(state.values(), revision, "store", is_complete=True)
+        self.logs[index].merge(
+            state.values(), StorePosition(0, revision), "store", is_complete=True
+        )
 
     @rule(index=LOGS)
     def restart(self, index):
@@ -71,7 +79,7 @@
         events = self.history[log.revision :]
         if log.revision:
             revision = len(self.history)
-            log.merge(events, revision, "store", is_complete=False)
+            log.merge(events, StorePosition(0, revision), "store", is_complete=False)
 
     @rule(index=LOGS, lag=st.integers(0, 5))
     def publish(self, index, lag):
@@ -85,19 +93,19 @@
     def send_records(source, target, lag):
         if not source.revision:
             return
-        since = max(0, target.revision - lag)
+        since = StorePosition(0, max(0, target.revision - lag))
         records, is_complete = source.get_records_since(since)
-        target.merge(records, source.revision, "peer", is_complete=is_complete)
+        target.merge(records, source.position, "peer", is_complete=is_complete)
 
     @invariant()
     def logs_are_the_store_at_their_revisions(self):
         for log in self.logs:
-            records, _ = log.get_records_since(0)
+            records, _ = log.get_records_since(NO_POSITION)
             assert {r.key: r for r in records} == self.get_state(log.revision)
 
     @invariant()
     def subscriber_is_the_store_at_its_revision(self):
-        records, _ = self.subscriber.get_records_since(0)
+        records, _ = self.subscriber.get_records_since(NO_POSITION)
         expected = self.get_state(self.subscriber.revision)
         assert {r.key: r.value for r in records} == {
             key: record.value for key, record in expected.items()
@@ -116,14 +124,17 @@
     """
     subscriber, source = RecordLog(), RecordLog()
     records = [StoredValue("left", b"v", 1), StoredValue("stays", b"v", 2)]
-    subscriber.merge(records, 2, "store", is_complete=True)
+    subscriber.merge(records, StorePosition(0, 2), "store", is_complete=True)
     # The record "left" was deleted at revision 3.
     source.merge(
-        [records[1], StoredValue("new", b"v", 4)], 4, "store", is_complete=True
+        [records[1], StoredValue("new", b"v", 4)],
+        StorePosition(0, 4),
+        "store",
+        is_complete=True,
     )
 
-    changes, is_complete = source.get_records_since(subscriber.revision)
-    subscriber.merge(changes, source.revision, "peer", is_complete=is_complete)
+    changes, is_complete = source.get_records_since(subscriber.position)
+    subscriber.merge(changes, source.position, "peer", is_complete=is_complete)
 
     assert subscriber.get_revision("left") == 0
     assert subscriber.get_revision("stays") == 2
@@ -140,14 +151,16 @@
     source, relay, late = RecordLog(), RecordLog(), RecordLog()
     stays = StoredValue("stays", b"v", 1)
     for log in (source, relay, late):
-        log.merge([stays], 1, "store", is_complete=True)
-    late.merge([StoredValue("left", b"v", 2)], 2, "store", is_complete=False)
+        log.merge([stays], StorePosition(0, 1), "store", is_complete=True)
+    late.merge(
+        [StoredValue("left", b"v", 2)], StorePosition(0, 2), "store", is_complete=False
+    )
     # The record "left" was deleted at revision 3, and the store lost its history.
-    source.merge([stays], 3, "store", is_complete=True)
+    source.merge([stays], StorePosition(0, 3), "store", is_complete=True)
 
     for sender, receiver in ((source, relay), (relay, late)):
-        records, is_complete = sender.get_records_since(receiver.revision)
-        receiver.merge(records, sender.revision, "peer", is_complete=is_complete)
+        records, is_complete = sender.get_records_since(receiver.position)
+        receiver.merge(records, sender.position, "peer", is_complete=is_complete)
 
     assert late.get_revision("left") == 0
     assert late.get_revision("stays") == 1
--- a/tests/feed/test_synchronizer.py
+++ b/tests/feed/test_synchronizer.py
@@ -28,7 +28,12 @@
 from verbenacross.feed.store_reader import StoreReader
 from verbenacross.feed.synchronizer import SUBSCRIPTION_COUNT, Synchronizer
 from verbenacross.infrastructure.exceptions import StoreUnavailableError
-from verbenacross.infrastructure.key_value_store import StoredValue, StoreSnapshot
+from verbenacross.infrastructure.key_value_store import (
+    NO_POSITION,
+    StoredValue,
+    StorePosition,
+    StoreSnapshot,
+)
 
 TIMEOUT_S = 5.0
 START_INTERVAL_S = 0.013
@@ -105,12 +110,13 @@
         values = [v for v in self.store.values.values() if v.revision > revision]
         return StoreSnapshot(self.store.revision, tuple(values))
 
-    async def check(self) -> None:
+    async def check(self) -> int:
         if "check" in self.unresponsive:
             await asyncio.sleep(CHECK_TIMEOUT_S)
             self.unresponsive.discard("check")
             raise StoreUnavailableError("no answer")
         await self._call()
+        return 0
 
     async def _call(self) -> None:
         await asyncio.sleep(0.002)
@@ -175,7 +181,7 @@
         self.recoveries += 1
 
     def find_members(self) -> list[Member]:
-        records = self.log.get_records_since(0)[0]
+        records = self.log.get_records_since(NO_POSITION)[0]
         return [
             Member.from_data(record.key, record.value)
             for record in records
@@ -389,7 +395,7 @@
     store = Store()
     connection = StoreConnection(store, "node")
     log = RecordLog()
-    log.merge((), store.revision, "peer", is_complete=True)
+    log.merge((), StorePosition(0, store.revision), "peer", is_complete=True)
     reader = StoreReader(connection, "", log)
     task = asyncio.create_task(reader.run())
     stack.callback(task.cancel)
@@ -404,7 +410,7 @@
     store.rejected.add("node")
     connection = StoreConnection(store, "node")
     log = RecordLog()
-    log.merge((), store.revision, "peer", is_complete=True)
+    log.merge((), StorePosition(0, store.revision), "peer", is_complete=True)
     reader = StoreReader(connection, "", log)
     task = asyncio.create_task(reader.run())
     stack.callback(task.cancel)
--- a/tests/node/test_lifecycle.py
+++ b/tests/node/test_lifecycle.py
@@ -159,7 +159,7 @@
     node = site.nodes[0]
     await wait_until(lambda: node.find_lines("registered"))
     connection = await connect(f"ws://{node.settings['peer_listen']}")
-    await connection.send(encode_message(Subscribe("subscriber", 0)))
+    await connection.send(encode_message(Subscribe("subscriber", 0, 0)))
     connection.transport.pause_reading()
     await wait_until(lambda: node.find_lines("subscriber connected"))
     site.endpoint.fault = "silent"
--- a/tests/node/test_registration.py
+++ b/tests/node/test_registration.py
@@ -17,7 +17,7 @@
 from verbenacross.feed.members import MEMBERS_PER_DOMAIN, Member, select_readers
 from verbenacross.feed.record_log import RecordLog
 from verbenacross.infrastructure.exceptions import StoreConflictError
-from verbenacross.infrastructure.key_value_store import StoredValue
+from verbenacross.infrastructure.key_value_store import StoredValue, StorePosition
 from verbenacross.node.registration import (
     DECREASE_DELAY_S,
     INCREASE_DELAY_S,
@@ -79,7 +79,7 @@
 
     def start(self, name: str, domain: str, link_mbps=SLOW_LINK_MBPS) -> None:
         log = RecordLog()
-        log.merge((), 1, "store", is_complete=True)
+        log.merge((), StorePosition(0, 1), "store", is_complete=True)
         member = Member(name, "10.0.0.1:1", domain, link_mbps)
         feed = self.feeds[name] = Feed()
         registration = Registration(
--- a/tests/quotas/test_links.py
+++ b/tests/quotas/test_links.py
@@ -19,6 +19,7 @@
 from verbenacross.feed.messages import Subscribe, Update
 from verbenacross.feed.publisher import Publisher
 from verbenacross.feed.record_log import RecordLog
+from verbenacross.infrastructure.key_value_store import StorePosition
 from verbenacross.quotas.customer_quotas import CustomerQuotas
 from verbenacross.quotas.quota_link import QUOTAS_PATH
 
@@ -137,9 +138,9 @@
 async def test_subscriptions_are_served_beside_quotas(instances):
     # The protocol of the records must not change.
     address = instances[0].member.address
-    instances[0].log.merge((), 1, "test", is_complete=True)
+    instances[0].log.merge((), StorePosition(0, 1), "test", is_complete=True)
     async with connect(f"ws://{address}", compression=None) as connection:
-        await connection.send(encode_message(Subscribe("x", 0)))
+        await connection.send(encode_message(Subscribe("x", 0, 0)))
         assert isinstance(decode_message(await connection.recv()), Update)
         assert instances[0].publisher.subscriber_count == 1
     with suppress(Exception):
