Soak: the store is restored from older copies

The fault soak had no store that returns with older content. Operator and upstreams wait while the store is lost.

All checks stay as they are. Two are new: a node that has served a route of a version does not go back before it while its process runs, whatever happens to the store, and the bound after a report of draining also holds for reports that are written again.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -96,11 +96,14 @@
         self.era = 1
         # Whether responses name the era.
         self.sends_era = True
+        # Whether all endpoints reset their connections, as during a restoration.
+        self.is_away = False
         self.history: list[dict[str, Any]] = []
         self.compacted_revision = 0
         self._last_lease = FIRST_LEASE - 1
         self._leases: dict[int, tuple[float, float]] = {}
         self._changed = asyncio.Condition()
+        self._endpoints: list[StoreEndpoint] = []
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> PlatformStoreStandIn:
@@ -114,6 +117,7 @@
     async def open_endpoint(self) -> StoreEndpoint:
         """Listens on another address; returns its endpoint."""
         endpoint = StoreEndpoint()
+        self._endpoints.append(endpoint)
 
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             return await self._handle(endpoint, request)
@@ -169,6 +173,12 @@
             dict(self._leases),
         )
 
+    def go_away(self) -> None:
+        """Resets all calls at all endpoints until the store is restored."""
+        self.is_away = True
+        for endpoint in self._endpoints:
+            endpoint.reset_connections()
+
     async def restore(self, saved: StoreCopy) -> None:
         """Restores a copy: what was written since is lost, and a new era begins.
 
@@ -188,6 +198,7 @@
                 for lease, (ttl_s, _) in saved.leases.items()
             }
             self.era += 1
+            self.is_away = False
             self._changed.notify_all()
 
     async def _handle(
@@ -204,7 +215,7 @@
     ) -> web.StreamResponse:
         path = request.path.removeprefix(STORE_PATH)
         endpoint.calls.append(path)
-        match endpoint.fault:
+        match "reset" if self.is_away else endpoint.fault:
             case "busy":
                 return web.json_response({}, status=503)
             case "many":
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -13,10 +13,10 @@
 REPORT_DIRECTORY = pathlib.Path("build/soak")
 
 
-def run_seed_in_process(arguments: tuple[int, float]) -> SeedResult:
+def run_seed_in_process(arguments: tuple[int, float, bool]) -> SeedResult:
     """Runs one seed in a worker process."""
-    seed, length_s = arguments
-    return asyncio.run(run_seed(seed, length_s))
+    seed, length_s, store_returns = arguments
+    return asyncio.run(run_seed(seed, length_s, store_returns=store_returns))
 
 
 def main() -> int:
@@ -26,13 +26,19 @@
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument(
+        "--store-returns",
+        action="store_true",
+        help="also restore the store from older copies",
+    )
     options = parser.parse_args()
     REPORT_DIRECTORY.mkdir(parents=True, exist_ok=True)
     seeds = range(options.first, options.first + options.seeds)
     failed = []
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
         for result in pool.map(
-            run_seed_in_process, [(seed, options.seconds) for seed in seeds]
+            run_seed_in_process,
+            [(seed, options.seconds, options.store_returns) for seed in seeds],
         ):
             verdict = "passed" if not result.violations else "FAILED"
             print(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -268,7 +268,7 @@
         upstream = self._generator.choice(candidates)
         self._record(f"drain {upstream.id}")
         if self._generator.random() < 0.3:
-            await self._fleet.site.store.remove(f"servers/{upstream.id}")
+            await self._fleet.remove_upstream(upstream)
         else:
             await self._fleet.register_upstream(upstream, "draining")
         self._fleet.draining_since[upstream.id] = time.monotonic()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -95,6 +95,8 @@
 
     ``acknowledged_at`` holds when the store acknowledged each configuration version,
     ``draining_since`` when each upstream announced a drain or was removed,
+    ``drain_reports`` when each such record was written again,
+    ``wanted_states`` what each upstream reports, ``None`` once it is removed,
     ``stops`` the planned stops of each node, and ``exited_nodes`` the nodes that exited
     unexpectedly. ``node_faults`` and
     ``store_outages`` hold the fault windows of each node, ``upstream_faults`` those of
@@ -114,6 +116,13 @@
         self.store_outages: dict[str, FaultWindows] = {}
         self.acknowledged_at: dict[int, float] = {}
         self.draining_since: dict[str, float] = {}
+        self.drain_reports: list[tuple[str, float]] = []
+        self.wanted_states: dict[str, str | None] = {}
+        # The newest version that the operator has written or is writing.
+        self.version = 0
+        # Cleared while neither operator nor upstreams reach the store.
+        self.is_store_present = asyncio.Event()
+        self.is_store_present.set()
         self.stops: dict[str, list[PlannedStop]] = {}
         self.exited_nodes: list[str] = []
         self.born = 1
@@ -164,13 +173,28 @@
         return upstream
 
     async def register_upstream(self, upstream: SoakUpstream, state="ready") -> None:
-        """Writes the entry of an upstream to the store."""
+        """Writes the entry of an upstream to the store, once that is present."""
+        self.wanted_states[upstream.id] = state
+        await self.is_store_present.wait()
         entry = upstream.describe(state, self.born)
         await self.site.store.put(f"servers/{upstream.id}", entry)
 
+    async def remove_upstream(self, upstream: SoakUpstream) -> None:
+        """Removes the entry of an upstream that leaves without a report."""
+        self.wanted_states[upstream.id] = None
+        await self.is_store_present.wait()
+        await self.site.store.remove(f"servers/{upstream.id}")
+
     async def publish_configuration(self) -> None:
         """Writes the next configuration version, which adds a route of its own."""
-        version = len(self.acknowledged_at) + 1
+        self.version += 1
+        version = self.version
+        await self.is_store_present.wait()
+        await self.write_configuration(version)
+        self.acknowledged_at[version] = time.monotonic()
+
+    async def write_configuration(self, version: int) -> None:
+        """Writes a configuration with a route for each version so far."""
         rules = [
             build_rule("/safe/"),
             build_rule("/once/", kind="unsafe"),
@@ -182,7 +206,6 @@
         ]
         configuration = build_configuration(*rules, version=version)
         await self.site.store.put("op/config", configuration)
-        self.acknowledged_at[version] = time.monotonic()
 
 
 def set_faults(proxy: FaultProxy, **faults) -> None:
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -45,7 +45,9 @@
         yield from check_configuration(fleet, call)
         yield from check_lost_response(fleet, call, runs[call.request_id])
         yield from check_planned_stop(fleet, call, runs[call.request_id])
+    yield from check_versions(fleet, calls)
     yield from check_drains(fleet, calls)
+    yield from check_drain_reports(fleet, calls)
     yield from check_recovery(calls, recovered_at)
 
 
@@ -83,6 +85,30 @@
         yield f"{call.request_id}: version {version} not in force at {call.node}"
 
 
+def check_versions(fleet: SoakFleet, calls: list[Call]) -> Iterator[str]:
+    """A node that served a route of a version serves it on, while its process runs.
+
+    This holds whatever happens to the store.
+    """
+    served: dict[str, list[tuple[int, float]]] = {}
+    marked = [call for call in calls if call.path.startswith(MARKER_PATH)]
+    for call in sorted(marked, key=lambda call: call.ended_at):
+        version = int(call.path.removeprefix(MARKER_PATH).partition("/")[0])
+        if call.status == HTTP_OK:
+            served.setdefault(call.node, []).append((version, call.ended_at))
+        if call.status != NOT_FOUND:
+            continue
+        for newer, served_at in served.get(call.node, []):
+            windows = fleet.node_faults[call.node]
+            is_older = newer >= version and served_at < call.sent_at
+            if is_older and windows.is_undisturbed(served_at, call.ended_at):
+                yield (
+                    f"{call.request_id}: {call.node} went back from version {newer} to "
+                    f"one before {version}"
+                )
+                break
+
+
 def check_lost_response(fleet: SoakFleet, call: Call, runs: int) -> Iterator[str]:
     """A request that an upstream ran gets a response, unless its node had a fault."""
     if call.status is not None or not runs:
@@ -143,6 +169,27 @@
                 yield f"{request_id} reached {upstream.id} {late_s:.1f} s after drain"
 
 
+def check_drain_reports(fleet: SoakFleet, calls: list[Call]) -> Iterator[str]:
+    """The same bound holds for each report and removal that is written again."""
+    by_id = {call.request_id: call for call in calls}
+    upstreams = {upstream.id: upstream for upstream in fleet.upstreams}
+    for identifier, reported_at in fleet.drain_reports:
+        for arrived_at, request_id in upstreams[identifier].arrivals:
+            call = by_id.get(request_id)
+            if call is None or arrived_at <= reported_at + PROPAGATION_BOUND_S:
+                continue
+            since = reported_at - STORE_CONNECTED_S
+            if all(
+                windows[call.node].is_undisturbed(since, arrived_at)
+                for windows in (fleet.node_faults, fleet.store_outages)
+            ):
+                late_s = arrived_at - reported_at
+                yield (
+                    f"{request_id} reached {identifier} {late_s:.1f} s after a report "
+                    "that was written again"
+                )
+
+
 def check_recovery(calls: list[Call], recovered_at: float) -> Iterator[str]:
     """Enough calls succeed once the recovery time after the last fault has passed."""
     after = [call for call in calls if call.sent_at >= recovered_at]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,6 +15,7 @@
 from .fleet import SoakFleet
 from .invariants import find_violations
 from .notices import NoticeInjector, find_notice_violations
+from .store_returns import StoreReturnInjector
 
 # Time after the last fault until service must be normal, as the users require.
 RECOVERY_S = 4.0
@@ -32,17 +33,27 @@
     report: str
 
 
-async def run_seed(seed: int, length_s: float) -> SeedResult:
-    """Runs one seed, injects faults for ``length_s`` and checks the guarantees."""
+async def run_seed(
+    seed: int, length_s: float, *, store_returns: bool = False
+) -> SeedResult:
+    """Runs one seed, injects faults for ``length_s`` and checks the guarantees.
+
+    With ``store_returns`` the store is also restored from older copies.
+    """
     with tempfile.TemporaryDirectory() as folder:
         async with AsyncExitStack() as stack:
             fleet = SoakFleet(stack, pathlib.Path(folder))
             await fleet.open()
             callers, injector = Callers(fleet, seed), FaultInjector(fleet, seed)
             notices = NoticeInjector(fleet, seed)
+            returns = StoreReturnInjector(fleet, seed)
             started_at = time.monotonic()
             calling = asyncio.create_task(callers.run())
-            await asyncio.gather(injector.run(length_s), notices.run(length_s))
+            await asyncio.gather(
+                injector.run(length_s),
+                notices.run(length_s),
+                returns.run(length_s if store_returns else 0.0),
+            )
             await asyncio.sleep(RECOVERY_S)
             recovered_at = time.monotonic()
             await asyncio.sleep(NORMAL_SERVICE_S)
@@ -50,7 +61,9 @@
             await calling
             violations = [*find_violations(fleet, callers.calls, recovered_at)]
             violations += find_notice_violations(fleet, callers.calls)
-            injected = sorted([*injector.injected, *notices.injected])
+            injected = sorted(
+                [*injector.injected, *notices.injected, *returns.injected]
+            )
             lines = [f"{at - started_at:7.3f} {text}" for at, text in injected]
             lines += violations
             lines += [
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,7 @@
 # Seed 507: a planned stop cut a response that its caller was still taking.
 # Seed 509: a response with status 000 was passed on.
 SEEDS = [1, 2, 31, 501, 507, 509, 1027, 1049]
+STORE_RETURN_SEEDS = [2, 6]
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -23,3 +24,12 @@
     print(result.report)
 
     assert result.violations == []
+
+
+@pytest.mark.parametrize("seed", STORE_RETURN_SEEDS)
+async def test_promises_hold_when_the_store_returns_from_a_copy(seed, tmp_path):
+    """Guards against changes after a return that are late, lost or undone."""
+    result = await run_seed(seed, LENGTH_S, store_returns=True)
+    print(result.report)
+
+    assert result.violations == []
