Judge the end of a response by the connection's end, not by an exception

Callers got the first part of a response as all of it: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: the HTTP client takes any loss of a connection for the end of such a response. The node looked for a reset in the exception that the client keeps with the connection, and ResponseHandler.close() clears that exception. Without an upload, close() comes before the exception is set. With one, the release of the connection waits for the cancelled writer, so close() comes afterwards, and a node that checks later finds nothing. The exception was also set by a writer that failed after an orderly end, so complete early responses were lost.

UpstreamProtocol records the end of stream that the event loop reports only for an orderly close that the reader received. A reset, a failed write and a close by this process leave no such record, whichever side notices them first and whatever the client does afterwards. ResponseEnding accepts nothing else, and takes the connection from the request, as the client may have released it. An orderly end completes the response also if the upload was not sent completely: nothing else marks the end of such a response.

--- a/src/verbenacross/node/upstream_attempt.py
+++ b/src/verbenacross/node/upstream_attempt.py
@@ -239,7 +239,7 @@
             raise UnusableAnswerError(
                 f"status {response.status} without a statement that nothing ran"
             )
-        ending = ResponseEnding.from_response(response)
+        ending = ResponseEnding.from_response(response, self._middleware.get_protocol())
         headers = copy_end_to_end(response.headers)
         max_bytes = MAX_BUFFERED_BYTES
         if self.streams_early and (response.content_length or 0) > MAX_BUFFERED_BYTES:
--- a/src/verbenacross/transport/single_attempt_middleware.py
+++ b/src/verbenacross/transport/single_attempt_middleware.py
@@ -13,6 +13,7 @@
     from collections.abc import Callable
 
     from aiohttp import ClientHandlerType
+    from aiohttp.client_proto import ResponseHandler
 
 
 class SingleAttemptMiddleware:
@@ -58,11 +59,18 @@
         """Returns whether the connection carried an earlier request."""
         return getattr(self._request, "connection_reused", False)
 
+    def get_protocol(self) -> ResponseHandler | None:
+        """Returns the protocol of the connection, ``None`` if there was none.
+
+        It is known even after the client has released the connection.
+        """
+        return getattr(self._request, "used_protocol", None)
+
     def close_connection(self) -> None:
         """Closes the connection, even if the client has released it for reuse.
 
         The client does so with the head of a response that has no body.
         """
-        protocol = getattr(self._request, "used_protocol", None)
+        protocol = self.get_protocol()
         if protocol is not None:
             protocol.close()
--- a/src/verbenacross/transport/upstream_client.py
+++ b/src/verbenacross/transport/upstream_client.py
@@ -9,6 +9,7 @@
 from yarl import URL
 
 from .attempt_request import AttemptRequest
+from .upstream_protocol import UpstreamConnector
 
 if TYPE_CHECKING:
     from contextlib import AsyncExitStack
@@ -46,8 +47,8 @@
     ) -> UpstreamClient:
         """Creates a client whose sessions are closed by the stack."""
         connectors = (
-            aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S),
-            aiohttp.TCPConnector(limit=0, force_close=True),
+            UpstreamConnector(limit=0, keepalive_timeout=KEEPALIVE_S),
+            UpstreamConnector(limit=0, force_close=True),
         )
         pooled, unpooled = [
             await stack.enter_async_context(
