Take only chunks, not any transfer coding, for the length of a response

A response with `Transfer-Encoding: identity`, `gzip` or `chunked, gzip` that the upstream reset was passed on as complete by the node. The entry, which is to reject responses that end with their connection, passed on one with `identity`.

Cause: both took the presence of the header for a length. The HTTP client reads such a body to the end of the connection. is_close_delimited now looks at the last coding, and the entry uses the same function.

The new cases failed before, 6 of 6 in the node and 1 of 1 in the entry, and pass now. tests/node, tests/transport and tests/integration/entry: 499 passed with 3 workers.

--- a/src/verbenacross/entry/upstream_response.py
+++ b/src/verbenacross/entry/upstream_response.py
@@ -11,6 +11,7 @@
 from ..transport.exceptions import UnusableAnswerError
 from ..transport.headers import REQUEST_ID_HEADER, append_via, copy_end_to_end
 from ..transport.response_body import is_bodiless
+from ..transport.response_ending import is_close_delimited
 from ..transport.response_status import validate_status
 
 if TYPE_CHECKING:
@@ -36,7 +37,7 @@
         raise UnusableAnswerError("the answer has two kinds of length")
     if len(set(lengths)) > 1:
         raise UnusableAnswerError("the answer has conflicting lengths")
-    if not chunked and not lengths:
+    if is_close_delimited(response):
         raise UnusableAnswerError("the answer is delimited only by its close")
 
 
--- a/src/verbenacross/transport/response_ending.py
+++ b/src/verbenacross/transport/response_ending.py
@@ -49,8 +49,10 @@
 
 def is_close_delimited(response: aiohttp.ClientResponse) -> bool:
     """Returns whether the body ends only where its connection closes."""
-    has_length = (
-        hdrs.CONTENT_LENGTH in response.headers
-        or hdrs.TRANSFER_ENCODING in response.headers
-    )
-    return not has_length and not is_bodiless(response)
+    if is_bodiless(response):
+        return False
+    codings = response.headers.getall(hdrs.TRANSFER_ENCODING, ())
+    if codings:
+        # Only chunks mark the end of a body, if they are the last coding.
+        return codings[-1].rpartition(",")[2].strip().lower() != "chunked"
+    return hdrs.CONTENT_LENGTH not in response.headers
--- a/tests/integration/entry/test_whole_answers.py
+++ b/tests/integration/entry/test_whole_answers.py
@@ -26,6 +26,10 @@
     "crossed answer": ({"crossed": True}, {}),
     "small body cut short": ({"cut_body": True}, {}),
     "body that ends with the connection": ({"close_delimited": True}, {}),
+    "body of another coding that ends with the connection": (
+        {"close_delimited": True, "answer_headers": {"Transfer-Encoding": "identity"}},
+        {},
+    ),
     "two kinds of length": (
         {"answer_headers": {"Transfer-Encoding": "chunked", "Content-Length": "5"}},
         {"X_Chunked": 1},
--- a/tests/node/test_upload_answers.py
+++ b/tests/node/test_upload_answers.py
@@ -42,6 +42,8 @@
     reset_delay_s = 0.0
     ending = "reset"
     reads_bytes = 0
+    # Value of Transfer-Encoding, none if empty.
+    coding = ""
     # Whether the response is chunked, of which more is to come.
     is_chunked = False
 
@@ -57,6 +59,8 @@
         if self.is_chunked:
             size = self.answer_bytes + 1
             head += f"Transfer-Encoding: chunked\r\n\r\n{size:x}\r\n"
+        elif self.coding:
+            head += f"Transfer-Encoding: {self.coding}\r\n\r\n"
         else:
             head += "\r\n"
         writer.write(head.encode() + b"a" * self.answer_bytes)
@@ -362,3 +366,24 @@
 
     assert complete == [], f"{len(complete)} of 4: {complete}"
     await wait_until(lambda: len(node.find_lines("response truncated")) == 4)
+
+
+@pytest.mark.parametrize("pace", ["fast", "none"])
+@pytest.mark.parametrize("coding", ["identity", "gzip", "chunked, gzip"])
+async def test_answer_in_another_coding_is_whole_only_after_an_orderly_end(
+    start, coding, pace
+):
+    """Guards against a truncated response whose transfer coding passes for a length."""
+    node, upstream = await start()
+    upstream.coding = coding
+    framing = "none" if pace == "none" else "length"
+
+    upstream.reset_delay_s = 0.02
+    for number, path in enumerate(ROUTES):
+        status, body = await Upload(node, path, f"r{number}", framing).run(pace)
+        assert status == 502 or body is None
+
+    upstream.ending = "half-close"
+    for number, path in enumerate(ROUTES):
+        status, body = await Upload(node, path, f"e{number}", framing).run(pace)
+        assert (status, body) == (200, b"a" * HELD_BYTES)
