Test that an upload answered early is followed by no other request

A server may respond before it has read an upload, keep the connection and read on later. The test guards against another request on that connection. The server gets only the start of the upload, as the client ends the connection with the response; that is unchanged.

--- a/tests/node/test_upload_answers.py
+++ b/tests/node/test_upload_answers.py
@@ -35,7 +35,8 @@
     """Responds before it has read an upload, then closes.
 
     ``ending`` is "reset", "close" after it has read the whole upload, "half-close" of
-    the writing side before it reads on, or "open" until the test resets.
+    the writing side before it reads on, "open" until the test resets, or "read-on"
+    after a response with a length, up to the end of the connection.
     """
 
     answer_bytes = HELD_BYTES
@@ -46,6 +47,8 @@
     coding = ""
     # Whether the response is chunked, of which more is to come.
     is_chunked = False
+    # What a response with a length was followed by, for each connection.
+    received = ()
 
     async def _respond_early(self, headers, reader, writer):
         request_id = headers["x-request-id"]
@@ -59,6 +62,9 @@
         if self.is_chunked:
             size = self.answer_bytes + 1
             head += f"Transfer-Encoding: chunked\r\n\r\n{size:x}\r\n"
+        elif self.ending == "read-on":
+            head = head.replace("Connection: close\r\n", "")
+            head += f"Content-Length: {self.answer_bytes}\r\n\r\n"
         elif self.coding:
             head += f"Transfer-Encoding: {self.coding}\r\n\r\n"
         else:
@@ -77,6 +83,12 @@
                 with contextlib.suppress(OSError):
                     while await reader.read(UPLOAD_PIECE_BYTES):
                         pass
+            case "read-on":
+                received = bytearray()
+                with contextlib.suppress(OSError):
+                    while part := await reader.read(UPLOAD_PIECE_BYTES):
+                        received += part
+                self.received = (*self.received, bytes(received))
             case "close":
                 await reader.readexactly(UPLOAD_BYTES - self.reads_bytes)
         return False
@@ -387,3 +399,27 @@
     for number, path in enumerate(ROUTES):
         status, body = await Upload(node, path, f"e{number}", framing).run(pace)
         assert (status, body) == (200, b"a" * HELD_BYTES)
+
+
+async def test_server_that_reads_on_after_its_answer_gets_nothing_else(start):
+    """Guards against another request on a connection whose upload is not complete.
+
+    The server responds with a length, keeps the connection and reads on later.
+    """
+    node, upstream = await start()
+    upstream.answer_bytes = 1_000
+    upstream.ending = "read-on"
+    upstream.reset_delay_s = 0.1
+    count = 12
+
+    for number in range(count):
+        pace = PACES[number % 2]
+        path = ROUTES[number // 2 % 2]
+        status, body = await Upload(node, path, f"r{number}").run(pace)
+        assert (status, body) == (200, b"a" * 1_000)
+
+    await wait_until(lambda: len(upstream.received) == count)
+    assert upstream.runs == [f"r{number}" for number in range(count)]
+    for received in upstream.received:
+        assert len(received) <= UPLOAD_BYTES
+        assert received == b"u" * len(received)
