--- a/tests/feed/conftest.py
+++ b/tests/feed/conftest.py
@@ -4,7 +4,10 @@
 
 from measure.virtual_loop import VirtualLoop
 
-VIRTUAL_TIME_MODULES = {"tests.feed.test_synchronizer"}
+VIRTUAL_TIME_MODULES = {
+    "tests.feed.test_restored_store",
+    "tests.feed.test_synchronizer",
+}
 
 
 def pytest_asyncio_loop_factories(config, item):
