Cancel the earlier timer of the grace period for upstreams

Cause: the grace period for upstreams whose entries are missing can start again while it runs, as after two returns of the store. The timer of the first one compared the time with the new end; a timer that fires a rounding error early found that its own end had not come either, and nothing removed the suspects later. Change: the earlier timer is cancelled; the comparison is gone.

--- a/src/verbenacross/node/upstream_entries.py
+++ b/src/verbenacross/node/upstream_entries.py
@@ -51,6 +51,7 @@
         self.changes: Subject[str] = Subject()
         self._deferred = deferred
         self._suspects_expire_at = 0.0
+        self._grace_timer: asyncio.TimerHandle | None = None
 
     def begin_era(self) -> None:
         """Makes all entries older than any of a new era."""
@@ -86,15 +87,15 @@
         Called when the store is available again: entries may have expired only because
         they could not be renewed.
         """
+        if self._grace_timer is not None:
+            self._grace_timer.cancel()
         self._suspects_expire_at = time.monotonic() + REREGISTRATION_GRACE_S
-        asyncio.get_running_loop().call_later(
+        self._grace_timer = asyncio.get_running_loop().call_later(
             REREGISTRATION_GRACE_S, self.remove_suspects
         )
 
     def remove_suspects(self) -> None:
         """Removes upstreams that did not register again within the grace period."""
-        if time.monotonic() < self._suspects_expire_at:
-            return
         for identifier, entry in list(self.by_id.items()):
             if entry.is_suspect:
                 self._remove(identifier, entry.revision, "not registered again")
