--- a/tests/node/test_restored_registration.py
+++ b/tests/node/test_restored_registration.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+import random
 from typing import NamedTuple
 
 import pytest
@@ -39,6 +40,15 @@
 WRITES_PER_INSTANCE = 2
 
 
+@pytest.fixture(autouse=True)
+def repeatable_delays():
+    """Renewals and retries are spread at random."""
+    state = random.getstate()
+    random.seed(1)
+    yield
+    random.setstate(state)
+
+
 class StoreCopy(NamedTuple):
     values: dict[str, tuple[bytes, int, str]]
     leases: dict[str, float]
@@ -383,3 +393,25 @@
         assert fleet.store.owners[fleet.store.era, lease] == name
 
     run_in_virtual_time(play())
+
+
+def test_instance_that_learns_of_the_return_before_its_log_writes_twice():
+    """Guards against a write that meets the record in the copy and is repeated.
+
+    The instance's own renewal shows the new era before its log has the records.
+    """
+
+    async def play():
+        fleet = RestorableFleet(1)
+        instance = await register_alone(fleet)
+        saved = fleet.store.copy()
+        before = instance.store.writes
+        fleet.store.restore(saved)
+        instance.registration._renew_at = 0.0
+        await fleet.run(RESTORATION_BOUND_S)
+
+        assert instance.store.writes - before == WRITES_PER_INSTANCE
+        lease = fleet.store.values[PREFIX + instance.store.instance][2]
+        assert fleet.store.owners[fleet.store.era, lease] == instance.store.instance
+
+    run_in_virtual_time(play())
