Wait for the restored records before registering anew

Cause: an instance that learns of the store's return from its own call to the store, a lease renewal for example, registers before the records of the new era have reached it over the feed. The copy holds its record, so the first write conflicts and is repeated: three writing calls instead of two. Change: it waits for the records of the new era, for 1 s at most.

--- a/src/verbenacross/node/registration.py
+++ b/src/verbenacross/node/registration.py
@@ -41,6 +41,9 @@
 # After the store has been restored from a copy, registered instances write their
 # records again within this time, in seconds.
 RESTORATION_SPREAD_S = 0.5
+# An instance that learns of the restoration before its records come waits for them this
+# long, in seconds: they hold the revision of the record that it replaces.
+RESTORED_RECORDS_TIMEOUT_S = 1.0
 # The reported number of instances follows an increase or a decrease that lasts for this
 # time, in seconds. After the loss of a source, its subscribers are counted twice until
 # its record expires.
@@ -82,6 +85,8 @@
         self._lease_era = 0
         # Whether the lease was lost because the store was restored from a copy.
         self._is_restoring = False
+        # Until when to wait for the restored records.
+        self._records_due_at = 0.0
         self._revision = 0
         self._renew_at = 0.0
         # Since when too few members rank before this instance.
@@ -131,8 +136,9 @@
     async def _update(self, now: float) -> None:
         if self._lease is not None and self._get_era() > self._lease_era:
             await self._forget_lease()
+            now = asyncio.get_running_loop().time()
         if self._lease is None:
-            if self._is_restoring or self._is_needed(now):
+            if self._should_register(now):
                 await self._register(now)
             return
         if now >= self._renew_at:
@@ -157,8 +163,17 @@
         )
         self._lease = None
         self._is_restoring = True
+        self._records_due_at = (
+            asyncio.get_running_loop().time() + RESTORED_RECORDS_TIMEOUT_S
+        )
         await asyncio.sleep(RESTORATION_SPREAD_S * spread(self._member.instance))
 
+    def _should_register(self, now: float) -> bool:
+        if not self._is_restoring:
+            return self._is_needed(now)
+        has_records = self._log.position.era >= self._store.era
+        return has_records or now >= self._records_due_at
+
     def _is_needed(self, now: float) -> bool:
         members = self._get_members()
         if any(member.instance == self._member.instance for member in members):
