--- a/tests/feed/conftest.py
+++ b/tests/feed/conftest.py
@@ -6,6 +6,7 @@
 
 VIRTUAL_TIME_MODULES = {
     "tests.feed.test_restored_store",
+    "tests.feed.test_silent_readers",
     "tests.feed.test_synchronizer",
 }
 
