--- a/tests/feed/test_restored_store.py
+++ b/tests/feed/test_restored_store.py
@@ -24,6 +24,7 @@
     VirtualTime,
     find_sources,
 )
+from verbenacross.documents.address import Address
 from verbenacross.feed import (
     publisher,
     record_log,
@@ -56,6 +57,7 @@
 # that does not wait, one that the change ends, and the next.
 MAX_OTHER_CALLS = 4
 COUNTED_S = 5.0
+STEP_S = 0.02
 
 running_instance: ContextVar[str] = ContextVar("running_instance", default="")
 
@@ -341,6 +343,53 @@
     assert all(i.log.position.era == fleet.store.era for i in followers)
 
 
+@pytest.mark.parametrize("is_standby", [False, True], ids=["source", "standby"])
+async def test_source_of_an_earlier_era_is_not_fresh(stack, is_standby):
+    """Guards against an instance that counts as up to date through an old source.
+
+    The instance learns of the new era elsewhere, after it has subscribed.
+    """
+    store = RestorableStore()
+    member = Member("source", "10.0.0.1:1", "a")
+    source = Instance(store, member)
+    await source.publisher.listen(stack, Address.from_text(member.address))
+    store.put("a", b"v")
+    task = asyncio.create_task(source.reader.run())
+    stack.callback(task.cancel)
+    log = RecordLog()
+    subscriber = subscription.Subscription(
+        "own",
+        "source",
+        member.address,
+        log,
+        lambda: None,
+        lambda: None,
+        is_standby=is_standby,
+    )
+    task = asyncio.create_task(subscriber.run())
+    stack.callback(task.cancel)
+    await asyncio.sleep(1.0)
+    assert subscriber.is_fresh()
+
+    newer = StorePosition(2, 1)
+    log.merge([StoredValue("b", b"w", 1)], newer, "store", is_complete=True)
+    # The next heartbeat of the source.
+    await asyncio.sleep(publisher.STANDBY_HEARTBEAT_S + STEP_S)
+    for _ in range(50):
+        await asyncio.sleep(STEP_S)
+        assert not subscriber.is_fresh()
+    assert log.position == newer
+    assert subscriber.is_peer_stale()
+
+    # The source learns of the era with the store's next answer.
+    store.restore(store.copy())
+    store.put("c", b"x")
+    async with asyncio.timeout(UPDATE_BOUND_S):
+        while not subscriber.is_fresh():
+            await asyncio.sleep(STEP_S)
+    assert is_standby or log.position == (store.era, store.revision)
+
+
 async def test_source_standing_still_in_the_earlier_era(stack):
     """Guards against a source that sends nothing more while the store returns."""
     fleet, readers, _ = await settle(stack)
--- a/tests/node/test_restored_registration.py
+++ b/tests/node/test_restored_registration.py
@@ -379,9 +379,11 @@
         saved = fleet.store.copy()
         instance = await register_alone(fleet)
         instance.feed.count = 40
-        await fleet.run(INCREASE_DELAY_S - STEP_S)
-        assert await give_lease_to_another(fleet, saved) is not None
+        await fleet.run(INCREASE_DELAY_S / 2)
+        await give_lease_to_another(fleet, saved)
+        # Renewal and report are due at the next update.
         instance.registration._renew_at = 0.0
+        instance.registration._deviates_since = -INCREASE_DELAY_S
         # The era is known from the response to the renewal only.
         instance.delay_s = 5.0
         await fleet.run(RESTORATION_BOUND_S)
