Tests: an instance that starts around a return does not go back to an older version

On this code, an instance that starts after the return reads the newer version from the store and then takes the older one of a peer, as the revision of before the return is higher. Two tests check the versions that come into force on a new instance, from whatever source, and the two older ones with a new instance check it as well.

--- a/tests/node/test_store_restored.py
+++ b/tests/node/test_store_restored.py
@@ -224,7 +224,7 @@
         names = {node.name for node in nodes or self.nodes}
         self.paths.add(path)
         due_at = acknowledged_at + CONFIG_APPLY_S
-        await self.wait_since(due_at, OBSERVATION_S)
+        await self.wait_since(max(due_at, time.monotonic()), OBSERVATION_S)
         self.paths.discard(path)
         await asyncio.gather(*self._calls)
         served = {
@@ -272,6 +272,14 @@
             assert sample.version >= known, (sample.node, late_s)
             latest[sample.node] = sample.version
 
+    def check_logged_versions(self, node) -> None:
+        """Checks that a node has not gone back since its start, from any source."""
+        lines = node.find_lines("configuration in force")
+        versions = [line["version"] for line in lines]
+        print(f"{node.name}: {[(line['version'], line['source']) for line in lines]}")
+        assert versions
+        assert versions == sorted(versions)
+
     def find_registrations(self) -> dict[str, int]:
         """Returns the lease of each registered node; those without a lease lack."""
         return {
@@ -668,6 +676,7 @@
     await drill.check_in_force("/v12/x", await drill.configure(FIRST_VERSION + 2))
 
     assert await reader.wait_exit() == 0
+    drill.check_logged_versions(added)
     drill.check_versions(FIRST_VERSION)
     drill.check_served()
 
@@ -713,5 +722,54 @@
     late_at = draining_at + DRAIN_TIMEOUT_S
     await drill.check_not_used("u0", late_at, late_at + 1.0)
     assert drill.find_refused("/v11/x", acknowledged_at) == []
+    drill.check_logged_versions(added)
     drill.check_versions(FIRST_VERSION)
     drill.check_served()
+
+
+async def test_instance_that_starts_before_the_return_does_not_go_back(drill):
+    """Guards against the copy's version after that of a peer, and the reverse.
+
+    The instance starts while the store is away and the peers know a version that the
+    copy lacks.
+    """
+    saved = await make_copy_with_lost_writes(drill)
+    await drill.check_in_force("/v11/x", await drill.configure(FIRST_VERSION + 1))
+    seeds = [node.settings["peer_listen"] for node in drill.nodes]
+    loss = asyncio.create_task(drill.lose())
+    await asyncio.sleep(0)
+    added = await drill.add_node("node-3", "b", seeds=seeds)
+    await loss
+    await drill.bring_back(saved)
+
+    await drill.write_again()
+    await drill.wait_since(drill.returned_at, CARRY_OVER_S)
+    await drill.configure(FIRST_VERSION + 1)
+    await drill.check_in_force("/v12/x", await drill.configure(FIRST_VERSION + 2))
+    await added.wait_ready()
+
+    drill.check_logged_versions(added)
+    drill.check_versions(FIRST_VERSION + 1)
+    drill.check_served()
+
+
+async def test_instance_that_starts_after_the_return_takes_no_older_version(drill):
+    """Guards against a peer that sends the version of before the return."""
+    saved = await make_copy_with_lost_writes(drill)
+    await drill.check_in_force("/v11/x", await drill.configure(FIRST_VERSION + 1))
+    await drill.replay(saved)
+    await drill.write_again()
+    await drill.configure(FIRST_VERSION + 1)
+    acknowledged_at = await drill.configure(FIRST_VERSION + 2)
+    await drill.wait_since(acknowledged_at, CONFIG_APPLY_S)
+
+    seeds = [node.settings["peer_listen"] for node in drill.nodes]
+    added = await drill.add_node("node-3", "b", seeds=seeds)
+    await added.wait_ready()
+    drill.nodes.append(added)
+    await asyncio.sleep(CONFIG_APPLY_S)
+
+    drill.check_logged_versions(added)
+    await drill.check_in_force("/v12/x", acknowledged_at)
+    drill.check_versions(FIRST_VERSION + 1)
+    drill.check_served()
