Tests: evacuations that start or end right after the return of the store

The readers see such a change for the first time among all records, where an instance cannot tell it from the copy's state by its presence alone.

--- a/tests/node/test_store_restored.py
+++ b/tests/node/test_store_restored.py
@@ -773,3 +773,43 @@
     await drill.check_in_force("/v12/x", acknowledged_at)
     drill.check_versions(FIRST_VERSION + 1)
     drill.check_served()
+
+
+@pytest.mark.parametrize("known", ["never evacuated", "evacuated until before"])
+async def test_evacuation_written_right_after_the_return_starts_in_time(drill, known):
+    """Guards against a start that is taken for a record of the copy.
+
+    The readers first see it among all records.
+    """
+    if known == "evacuated until before":
+        await drill.store.put("op/evacuate/a", b"")
+        await asyncio.sleep(CONFIG_APPLY_S)
+        await drill.store.remove("op/evacuate/a")
+        await asyncio.sleep(CONFIG_APPLY_S)
+    saved = await make_copy_with_lost_writes(drill)
+    await drill.replay(saved)
+
+    await drill.store.put("op/evacuate/a", b"")
+    due_at = time.monotonic() + CONFIG_APPLY_S
+    await drill.write_again()
+    await drill.wait_since(due_at, 1.0)
+
+    await check_evacuation(drill, ["a"], due_at)
+    assert drill.find_runs("u0", due_at) == []
+    drill.check_served()
+
+
+async def test_evacuation_that_ends_right_after_the_return_ends_in_time(drill):
+    """Guards against an end that is taken for a record that the copy lacks."""
+    await drill.store.put("op/evacuate/a", b"")
+    await asyncio.sleep(CONFIG_APPLY_S)
+    saved = await make_copy_with_lost_writes(drill)
+    await drill.replay(saved)
+
+    await drill.store.remove("op/evacuate/a")
+    due_at = time.monotonic() + CONFIG_APPLY_S
+    await drill.write_again()
+    await drill.wait_since(due_at, 1.0)
+
+    await check_evacuation(drill, [], due_at)
+    drill.check_served()
