Return the era from the check of a store double

Cause: tests/feed/test_silent_readers.py was written before checks of the store return its era. Its double returned nothing, so each reader ended with a TypeError and was started again without end on virtual time. Change: the double returns what the double below it returns. The bound is unchanged.

--- a/tests/feed/test_silent_readers.py
+++ b/tests/feed/test_silent_readers.py
@@ -48,7 +48,7 @@
     async def check(self):
         if self.is_silent:
             await self._time_out(CHECK_TIMEOUT_S)
-        await super().check()
+        return await super().check()
 
     async def _time_out(self, timeout_s):
         await asyncio.sleep(timeout_s)
