--- a/tests/integration/entry/test_whole_answers.py
+++ b/tests/integration/entry/test_whole_answers.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import concurrent.futures
+import contextlib
 import http.client
 import json
+import socket
+import threading
 import time
 import uuid
 
@@ -15,6 +18,9 @@
 
 pytestmark = pytest.mark.xdist_group("whole")
 
+UPLOAD_BYTES = 3_000_000
+UPLOAD_PIECE_BYTES = 20_000
+
 BROKEN_HEADS = {
     "status that HTTP does not define": ({}, {"X_Status": 600}),
     "crossed answer": ({"crossed": True}, {}),
@@ -141,3 +147,50 @@
     assert failure["upstream"] in path.upstreams
     assert failure["policy_revision"] > 0
     assert failure["execution"] == refusal["execution"] == "unknown"
+
+
+@pytest.mark.parametrize("framing", ["no length", "length", "chunks"])
+@pytest.mark.parametrize("path_name", ["once", "again"])
+def test_early_answer_cut_while_the_upload_goes_on_looks_broken(
+    path, path_name, framing
+):
+    """Guards against a truncated response that looks complete because of its upload.
+
+    The writer of an upload may notice first that the connection was reset.
+    """
+    path.set_behaviour(close_delimited=framing == "no length")
+    path.set_proxy_faults(cut_after_bytes=400_000, cut_with="reset")
+    options = {"X_Answer_Early": 1, "X_Answer_Bytes": 1_000_000}
+    if framing == "chunks":
+        options["X_Chunked"] = 1
+    for number in range(12):
+        head = build_request(
+            f"/work/{path_name}",
+            "POST",
+            Content_Length=UPLOAD_BYTES,
+            Request_Timeout_Ms=1_000,
+            **options,
+        )
+        with RawCaller(path.get_port()) as caller:
+            caller.send(head)
+            upload = threading.Thread(target=send_upload, args=(caller, number % 2))
+            upload.start()
+            try:
+                response = caller.read_response()
+            except (http.client.HTTPException, ConnectionError):
+                assert framing != "no length"
+            else:
+                assert response[0] in (502, 504)
+                assert get_execution(response) == "unknown"
+            finally:
+                with contextlib.suppress(OSError):
+                    caller.socket.shutdown(socket.SHUT_RDWR)
+                upload.join()
+
+
+def send_upload(caller: RawCaller, pauses_ms: int) -> None:
+    """Sends an upload until the entry ends the connection."""
+    with contextlib.suppress(OSError):
+        for _ in range(0, UPLOAD_BYTES, UPLOAD_PIECE_BYTES):
+            caller.send(b"u" * UPLOAD_PIECE_BYTES)
+            time.sleep(pauses_ms / 1_000)
