Log and count the connections of callers that this process closes

Cause: "caller disconnected" was written whoever had closed the connection, so that a record could not tell a caller that left from a request that this process had cut off, nor by which of its limits. Change: a line "caller connection closed" with reason, idle time and the number of requests read and not answered; a counter by reason, one of unanswered requests, and one of requests that begin on a connection that was closed; a line when the limits on callers change. What is closed, and when, stays as it was.

--- a/src/verbenacross/entry/entry.py
+++ b/src/verbenacross/entry/entry.py
@@ -48,6 +48,7 @@
 if TYPE_CHECKING:
     from ..protocol.messages import DirectoryUpdates
     from ..settings import EntrySettings
+    from ..transport.closed_connection import ClosedConnection
 
 MS_PER_S = 1_000
 STORE_TIMEOUT_MS = 1_000
@@ -85,6 +86,12 @@
             "Refused requests by problem",
             registry=self.registry,
         )
+        self._closed_connections = Counter(
+            "verbenacross_caller_connections_closed_total",
+            "Connections of callers that this process closed, by reason and by "
+            "whether a request on them was left unanswered",
+            registry=self.registry,
+        )
         self.directory.changes.subscribe(self._update_routers)
 
     @classmethod
@@ -119,6 +126,7 @@
             max_line_size=self.settings.max_header_bytes,
             max_field_size=self.settings.max_header_bytes,
         )
+        server.closed_connections.subscribe(self._count_closed_connection)
         runner = web.ServerRunner(server, shutdown_timeout=ABORT_TIMEOUT_S)
         await runner.setup()
         stack.push_async_callback(runner.cleanup)
@@ -275,6 +283,12 @@
             )
         return admission
 
+    def _count_closed_connection(self, closed: ClosedConnection) -> None:
+        unanswered = "yes" if closed.unanswered else "no"
+        self._closed_connections.inc(
+            {"reason": closed.reason.value, "unanswered": unanswered}
+        )
+
     def _update_routers(self, updates: DirectoryUpdates) -> None:
         peers = self._get_peers()
         for service, admission in self._admissions.items():
--- a/src/verbenacross/node/caller_connections.py
+++ b/src/verbenacross/node/caller_connections.py
@@ -9,11 +9,13 @@
 import logbook
 
 from ..transport.caller_protocol import CallerProtocol
+from ..transport.closed_connection import CloseReason
 
 if TYPE_CHECKING:
     from aiohttp import web
 
     from ..transport.caller_server import CallerServer
+    from ..transport.closed_connection import ClosedConnection
 
 SWEEP_INTERVAL_S = 0.5
 # Callers may still apply the idle timeout of an earlier configuration, and a request
@@ -45,6 +47,11 @@
         if isinstance(request.protocol, CallerProtocol):
             request.protocol.begin_request()
 
+    def find_close(self, request: web.BaseRequest) -> ClosedConnection | None:
+        """Returns how this process closed the connection of a request, if it did."""
+        protocol = request.protocol
+        return protocol.closed if isinstance(protocol, CallerProtocol) else None
+
     def mark_idle(self, request: web.BaseRequest) -> None:
         """Marks the connection of a request that has been handled as idle."""
         if isinstance(request.protocol, CallerProtocol):
@@ -63,8 +70,10 @@
                 if idle_since == math.inf:
                     continue
                 head_since = getattr(connection, "head_since", math.inf)
-                if idle_since < idle_cutoff or head_since < head_cutoff:
-                    connection.force_close()
+                if head_since < head_cutoff:
+                    close(connection, CloseReason.SLOW_HEAD)
+                elif idle_since < idle_cutoff:
+                    close(connection, CloseReason.IDLE)
             self._close_excess(server)
 
     def _close_excess(self, server: CallerServer) -> None:
@@ -85,4 +94,10 @@
         idle.sort(key=lambda connection: getattr(connection, "idle_since", math.inf))
         logger.warning("too many caller connections", extra={"surplus": excess})
         for connection in idle[:excess]:
-            connection.force_close()
+            close(connection, CloseReason.TOO_MANY)
+
+
+def close(connection: web.RequestHandler, reason: CloseReason) -> None:
+    """Closes a connection of the server; the reason is logged."""
+    if isinstance(connection, CallerProtocol):
+        connection.close_because(reason)
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -43,6 +43,7 @@
     from aioprometheus import Registry
 
     from ..feed.record_log import RecordBatch
+    from ..routes.caller_limits import CallerLimits
     from ..routes.route_table import RouteTable
     from .settings import NodeSettings
 
@@ -131,6 +132,7 @@
             self.buffers,
             self.admission,
         )
+        self._limits: CallerLimits | None = None
         self.discovery.table_changes.subscribe(self._apply_limits)
         self.discovery.table_changes.subscribe(self.admission.apply_table)
 
@@ -168,6 +170,7 @@
             max_field_size=MAX_HEADER_BYTES,
             keepalive_timeout=LIBRARY_KEEPALIVE_S,
         )
+        server.closed_connections.subscribe(self.metrics.record_closed_connection)
         await serve_readiness(stack, settings.readiness_listen, self.is_ready)
         await serve_metrics(stack, settings.metrics_listen, self)
         runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
@@ -293,6 +296,9 @@
 
     def _apply_limits(self, table: RouteTable) -> None:
         limits = table.limits
+        if limits != self._limits:
+            logger.info("limits on callers in force", extra=limits._asdict())
+            self._limits = limits
         self.connections.idle_timeout_s = limits.idle_timeout_s
         self.connections.header_timeout_s = limits.header_timeout_s
         self.connections.max_header_bytes = limits.max_header_bytes
--- a/src/verbenacross/node/node_metrics.py
+++ b/src/verbenacross/node/node_metrics.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from ..hedging.hedge_policy import HedgeCounts
     from ..routes.route import Route
+    from ..transport.closed_connection import ClosedConnection
 
 # Upper bounds of the latency histogram, in seconds.
 LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
@@ -36,6 +37,22 @@
             "Requests refused before a choice, by problem",
             registry=self.registry,
         )
+        self._closed_connections = Counter(
+            "verbenacross_caller_connections_closed_total",
+            "Connections of callers that this process closed, by reason",
+            registry=self.registry,
+        )
+        self._unanswered_requests = Counter(
+            "verbenacross_unanswered_requests_total",
+            "Requests that were read on a connection which this process then closed "
+            "without a complete response to them, by reason",
+            registry=self.registry,
+        )
+        self._on_closed_connections = Counter(
+            "verbenacross_requests_on_closed_connections_total",
+            "Requests that began on a connection which this process had closed",
+            registry=self.registry,
+        )
         self._over_quota = Counter(
             "verbenacross_over_quota_total",
             "Requests refused because the customer has used up its quota",
@@ -92,6 +109,17 @@
         """Records a request that was refused before an upstream was chosen."""
         self._refusals.inc({"problem": problem})
 
+    def record_closed_connection(self, closed: ClosedConnection) -> None:
+        """Records a caller's connection that this process closes."""
+        labels = {"reason": closed.reason.value}
+        self._closed_connections.inc(labels)
+        if closed.unanswered:
+            self._unanswered_requests.add(labels, closed.unanswered)
+
+    def record_request_on_closed_connection(self) -> None:
+        """Records a request that begins on a connection which was closed."""
+        self._on_closed_connections.inc({})
+
     def record_over_quota(self, customer: str) -> None:
         """Records a request that was refused because of its customer's quota."""
         self._over_quota.inc({"customer": customer})
--- a/src/verbenacross/transport/caller_protocol.py
+++ b/src/verbenacross/transport/caller_protocol.py
@@ -16,6 +16,7 @@
 from aiohttp.web_protocol import _ErrInfo
 
 from ..refusals import Execution, ProblemDetails
+from .closed_connection import ClosedConnection, CloseReason
 from .lingering_transport import LingeringTransport
 from .read_size import limit_read_size
 from .request_ahead import (
@@ -61,10 +62,13 @@
     true, requests that were sent ahead are handled in parallel; they are answered in
     order. ``get_max_head_bytes`` returns the limit on the size of a head. The
     connection is reset if its caller takes none of a response for ``STALL_TIMEOUT_S``.
+    ``report_close`` is called when this process begins to close the connection, with
+    ``close_reason``; ``closed`` is set then.
     """
 
     __slots__ = (
         "_ahead",
+        "_answered_count",
         "_connection",
         "_head_bytes",
         "_in_flight",
@@ -72,13 +76,17 @@
         "_last_payload",
         "_stall_timer",
         "accepts_ahead",
+        "close_reason",
+        "closed",
         "get_max_head_bytes",
         "head_since",
         "idle_since",
+        "report_close",
     )
 
     accepts_ahead: Callable[[], bool]
     get_max_head_bytes: Callable[[], float]
+    report_close: Callable[[ClosedConnection], None]
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts serving a new connection."""
@@ -88,12 +96,15 @@
         self._is_head_rejected = False
         self._last_payload: Any = EMPTY_PAYLOAD
         self._in_flight = 0
+        self._answered_count = 0
+        self.close_reason = CloseReason.RESPONSE
+        self.closed: ClosedConnection | None = None
         self._ahead: deque[RequestAhead] = deque()
         self._stall_timer: asyncio.TimerHandle | None = None
         limit_read_size(transport)
         # Unlike ``transport``, kept while the connection is being closed.
         self._connection = LingeringTransport(
-            cast(asyncio.Transport, transport), self._cancel_ahead
+            cast(asyncio.Transport, transport), self._handle_close
         )
         super().connection_made(cast(asyncio.Transport, self._connection))
 
@@ -104,6 +115,29 @@
         super().connection_lost(exc)
         self._cancel_ahead()
 
+    def close_because(self, reason: CloseReason) -> None:
+        """Closes the connection at once, for a reason that is not a response."""
+        self.close_reason = reason
+        self.force_close()
+
+    def _handle_close(self) -> None:
+        """Reports that this process closes the connection."""
+        reason = self.close_reason
+        if reason is CloseReason.RESPONSE and self._request_in_progress:
+            # The connection is closed after a response, not within one.
+            reason = CloseReason.TRUNCATED
+        is_idle = self.idle_since < math.inf
+        caller = self._connection.get_extra_info("peername") or ("",)
+        self.closed = ClosedConnection(
+            reason,
+            ":".join(str(part) for part in caller[:2]),
+            round(self._loop.time() - self.idle_since, 3) if is_idle else None,
+            self._request_count,
+            self._request_count - self._answered_count,
+        )
+        self._cancel_ahead()
+        self.report_close(self.closed)
+
     def _cancel_ahead(self) -> None:
         """Cancels the requests that were sent ahead; they get no response."""
         while self._ahead:
@@ -128,6 +162,7 @@
         self._stall_timer = None
         if self.transport is None:
             return
+        self.close_reason = CloseReason.STALLED
         unsent_bytes = self.transport.get_write_buffer_size()
         logger.warning(
             "caller takes no more of a response",
@@ -166,6 +201,7 @@
         max_bytes = self.get_max_head_bytes()
         if self._head_bytes > max_bytes:
             self._is_head_rejected = True
+            self._request_count += 1
             error = LineTooLong(f"the head exceeds {max_bytes} bytes")
             self._messages.append(
                 (_ErrInfo(status=400, exc=error, message=error.message), EMPTY_PAYLOAD)
@@ -243,7 +279,9 @@
             ahead = self._ahead.popleft()
             ahead.turn.set()
             request, request_handler = ahead.request, ahead.wait_response
-        return await super()._handle_request(request, start_time, request_handler)
+        result = await super()._handle_request(request, start_time, request_handler)
+        self._answered_count += 1
+        return result
 
     def handle_error(
         self,
--- a/src/verbenacross/transport/caller_server.py
+++ b/src/verbenacross/transport/caller_server.py
@@ -6,13 +6,18 @@
 import math
 from typing import TYPE_CHECKING, Any
 
+import logbook
 from aiohttp import web
+from reactivex.subject import Subject
 
 from .caller_protocol import CallerProtocol
+from .closed_connection import CloseReason
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from .closed_connection import ClosedConnection
+
 
 # Time for handlers to end when a server closes, in seconds. aiohttp treats 0 as no
 # limit.
@@ -24,6 +29,8 @@
 # Interval of the checks whether responses have been sent, in seconds.
 UNSENT_CHECK_INTERVAL_S = 0.02
 
+logger = logbook.Logger("verbenacross.transport")
+
 
 class CallerServer(web.Server):
     """HTTP server whose connections use ``CallerProtocol``.
@@ -31,7 +38,8 @@
     While ``accepts_ahead`` returns true, requests that callers send ahead start before
     the earlier ones on their connection are answered. Their handlers wait for
     ``wait_turn`` before they send anything, or run anything that must not be repeated.
-    Request heads are limited to ``max_head_bytes``.
+    Request heads are limited to ``max_head_bytes``. ``closed_connections`` emits each
+    connection that this process closes.
     """
 
     def __init__(
@@ -47,6 +55,8 @@
         options = defaults | options
         super().__init__(handler, handler_cancellation=True, **options)
         self.max_head_bytes = math.inf
+        self.closed_connections: Subject[ClosedConnection] = Subject()
+        self.closed_connections.subscribe(log_closed_connection)
         self._accepts_ahead = accepts_ahead
         self._options = options
 
@@ -55,6 +65,7 @@
         protocol = CallerProtocol(self, loop=self._loop, **self._options)
         protocol.accepts_ahead = self._accepts_ahead
         protocol.get_max_head_bytes = lambda: self.max_head_bytes
+        protocol.report_close = self.closed_connections.on_next
         return protocol
 
     @property
@@ -87,6 +98,17 @@
     async def shutdown(self, timeout: float | None = None) -> None:  # noqa: ASYNC109
         """Closes all connections; what has yet to be sent may be lost."""
         connections = self._caller_connections
+        for connection in connections:
+            connection.close_reason = CloseReason.STOP
         await super().shutdown(timeout)
         for connection in connections:
             connection.close_now()
+
+
+def log_closed_connection(closed: ClosedConnection) -> None:
+    """Logs a connection that this process closes, unless its last response said so."""
+    if closed.reason is CloseReason.RESPONSE and not closed.unanswered:
+        return
+    level = logbook.WARNING if closed.unanswered else logbook.INFO
+    fields = {**closed._asdict(), "reason": closed.reason.value}
+    logger.log(level, "caller connection closed", extra=fields)
--- a/src/verbenacross/transport/lingering_transport.py
+++ b/src/verbenacross/transport/lingering_transport.py
@@ -22,7 +22,8 @@
     its next request before it has the last response would lose that response (RFC
     9112, section 9.6). So closing ends the writing side only. The protocol has to
     ignore what arrives from then on, until the caller closes its side or ``LINGER_S``
-    after all has been sent. ``handle_close`` is called when closing begins.
+    after all has been sent. ``handle_close`` is called when this process begins to
+    close the connection, not when it is lost.
     """
 
     __slots__ = (
@@ -57,8 +58,7 @@
         """Ends the writing side once all has been sent; reads on for a while."""
         if self.is_closing():
             return
-        self._is_closing = True
-        self._handle_close()
+        self._begin_close()
         try:
             self._transport.write_eof()
         except OSError:
@@ -68,6 +68,11 @@
         self._transport.resume_reading()
         self._timer = self._loop.call_later(LINGER_S, self._end_linger)
 
+    def _begin_close(self) -> None:
+        if not self.is_closing():
+            self._is_closing = True
+            self._handle_close()
+
     def _end_linger(self) -> None:
         if self._transport.get_write_buffer_size():
             self._timer = self._loop.call_later(LINGER_S, self._end_linger)
@@ -76,10 +81,16 @@
 
     def close_now(self) -> None:
         """Closes both sides once all has been sent."""
-        self._is_closing = True
+        self._begin_close()
         self.cancel_timer()
         self._transport.close()
 
+    def abort(self) -> None:
+        """Closes both sides at once; what has not been sent is discarded."""
+        self._begin_close()
+        self.cancel_timer()
+        self._transport.abort()
+
     def cancel_timer(self) -> None:
         """Cancels the timer; for a connection that has been lost."""
         if self._timer is not None:
