Show requests that are lost as the process closes their connection

Cause, as far as the trials show it: a connection counts as idle until the handler of its next request begins; a lower idle_timeout closes what callers may still use; a closed connection reads on and drops what it reads.

--- a/src/verbenacross/node/caller_connections.py
+++ b/src/verbenacross/node/caller_connections.py
@@ -61,20 +61,24 @@
         """Closes connections that exceed a limit periodically until cancelled."""
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            server.max_head_bytes = self.max_header_bytes
-            now = self._loop.time()
-            idle_cutoff = now - self.idle_timeout_s - IDLE_MARGIN_S
-            head_cutoff = now - self.header_timeout_s
-            for connection in server.connections:
-                idle_since = getattr(connection, "idle_since", math.inf)
-                if idle_since == math.inf:
-                    continue
-                head_since = getattr(connection, "head_since", math.inf)
-                if head_since < head_cutoff:
-                    close(connection, CloseReason.SLOW_HEAD)
-                elif idle_since < idle_cutoff:
-                    close(connection, CloseReason.IDLE)
-            self._close_excess(server)
+            self.sweep(server)
+
+    def sweep(self, server: CallerServer) -> None:
+        """Closes the connections that exceed a limit now."""
+        server.max_head_bytes = self.max_header_bytes
+        now = self._loop.time()
+        idle_cutoff = now - self.idle_timeout_s - IDLE_MARGIN_S
+        head_cutoff = now - self.header_timeout_s
+        for connection in server.connections:
+            idle_since = getattr(connection, "idle_since", math.inf)
+            if idle_since == math.inf:
+                continue
+            head_since = getattr(connection, "head_since", math.inf)
+            if head_since < head_cutoff:
+                close(connection, CloseReason.SLOW_HEAD)
+            elif idle_since < idle_cutoff:
+                close(connection, CloseReason.IDLE)
+        self._close_excess(server)
 
     def _close_excess(self, server: CallerServer) -> None:
         """Closes the connections idle the longest while too many are open."""
--- /dev/null
+++ b/tests/node/test_closing_connections.py
@@ -0,0 +1,175 @@
+"""Requests that arrive while the process closes their caller's connection.
+
+The sweep runs at chosen moments of the event loop, without a node process: the server
+and the limits on its connections are those of the node.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import re
+
+import pytest
+from aiohttp import web
+
+from verbenacross.node.caller_connections import IDLE_MARGIN_S, CallerConnections
+from verbenacross.transport.caller_server import CallerServer
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: host.example\r\n\r\n"
+ALL_DESCRIPTORS = 10_000
+
+
+class Site:
+    """A server like that of a node, and a connection of a caller with one response."""
+
+    def __init__(self) -> None:
+        self.handled = 0
+        self.connections = CallerConnections(ALL_DESCRIPTORS)
+        self.server = CallerServer(self.handle, access_log=None)
+
+    async def handle(self, request):
+        self.connections.mark_busy(request)
+        self.handled += 1
+        try:
+            return web.Response(text="the response")
+        finally:
+            self.connections.mark_idle(request)
+
+    async def connect(self, port) -> None:
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
+        self.writer.write(REQUEST)
+        assert await self.read_status() == 200
+        # The connection waits for its next request.
+        await asyncio.sleep(0.02)
+
+    async def read_status(self) -> int:
+        """Returns the status of the next response, 0 if the connection ends."""
+        try:
+            head = await self.reader.readuntil(b"the response")
+        except asyncio.IncompleteReadError as error:
+            head = error.partial
+        except ConnectionResetError:
+            return 0
+        match = re.match(rb"HTTP/1.1 (\d+) ", head)
+        return int(match[1]) if match else 0
+
+    @property
+    def connection(self):
+        return self.server.connections[0]
+
+    def let_idle_time_pass(self, time_s) -> None:
+        self.connection.idle_since -= time_s
+
+    def receive_in_kernel(self, data) -> None:
+        """Sends bytes that the server's event loop has yet to read."""
+        self.writer.get_extra_info("socket")._sock.send(data)
+
+
+@pytest.fixture
+async def site():
+    site = Site()
+    loop = asyncio.get_running_loop()
+    async with await loop.create_server(site.server, "127.0.0.1", 0) as server:
+        await site.connect(server.sockets[0].getsockname()[1])
+        yield site
+        site.writer.close()
+        await site.server.shutdown(0.01)
+
+
+def exceed_idle_timeout(site) -> None:
+    site.connections.idle_timeout_s = 15.0
+    site.let_idle_time_pass(15.0 + IDLE_MARGIN_S + 0.1)
+
+
+def exceed_number(site) -> None:
+    site.connections._max_connections = 0
+
+
+@pytest.mark.parametrize("exceed_limit", [exceed_idle_timeout, exceed_number])
+async def test_request_that_was_read_is_answered_though_its_handler_has_not_begun(
+    site, exceed_limit
+):
+    """Guards against connections that are closed with a request read, LOST."""
+    exceed_limit(site)
+    site.connection.data_received(REQUEST)
+    site.connections.sweep(site.server)
+
+    assert await site.read_status() == 200
+    assert site.handled == 2
+
+
+@pytest.mark.parametrize("exceed_limit", [exceed_idle_timeout, exceed_number])
+async def test_request_that_has_arrived_is_answered_though_it_was_not_read(
+    site, exceed_limit
+):
+    """Guards against requests that are read and dropped behind the close."""
+    exceed_limit(site)
+    site.receive_in_kernel(REQUEST)
+    site.connections.sweep(site.server)
+
+    assert await site.read_status() == 200
+    assert site.handled == 2
+
+
+@pytest.mark.parametrize("exceed_limit", [exceed_idle_timeout, exceed_number])
+async def test_request_that_crosses_the_close_is_not_read(site, exceed_limit):
+    """Guards against requests that are read when they can no longer be answered.
+
+    A caller may repeat what was not read, whatever its method.
+    """
+    exceed_limit(site)
+    connection = site.connection
+    site.connections.sweep(site.server)
+    await asyncio.sleep(0.02)
+    requests_before = connection._request_count
+    with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+        site.receive_in_kernel(REQUEST)
+    await asyncio.sleep(0.02)
+
+    assert await site.read_status() == 0
+    assert connection._request_count == requests_before
+    assert site.handled == 1
+    assert connection not in site.server.connections
+
+
+async def test_lower_idle_timeout_does_not_close_what_callers_may_use(site):
+    """Guards against requests on connections whose callers go by the limit before.
+
+    They can know the new one from the next response, not while the connection is idle.
+    """
+    site.connections.idle_timeout_s = 15.0
+    site.connections.sweep(site.server)
+    site.writer.write(REQUEST)
+    assert await site.read_status() == 200
+    await asyncio.sleep(0.02)
+    site.let_idle_time_pass(9.0)
+    site.connections.idle_timeout_s = 3.0
+    site.connections.sweep(site.server)
+    await asyncio.sleep(0.02)
+
+    site.writer.write(REQUEST)
+
+    assert await site.read_status() == 200
+    assert site.handled == 3
+
+
+async def test_lower_idle_timeout_applies_from_the_next_response_on(site):
+    site.connections.idle_timeout_s = 3.0
+    site.connections.sweep(site.server)
+    site.writer.write(REQUEST)
+    assert await site.read_status() == 200
+    await asyncio.sleep(0.02)
+    site.let_idle_time_pass(3.0 + IDLE_MARGIN_S + 0.1)
+    site.connections.sweep(site.server)
+
+    assert await site.read_status() == 0
+
+
+async def test_request_read_as_the_server_closes_is_answered(site):
+    """Guards against requests that are read at the end of a stop and dropped."""
+    site.connection.data_received(REQUEST)
+    closing = asyncio.create_task(site.server.shutdown(1.0))
+
+    assert await site.read_status() == 200
+    await closing
