Close idle connections of callers only if no request has arrived

What callers saw: a request on a kept connection got neither an answer nor a refusal, and an upstream ran it for nobody. The class of fault is a decision to close by what the handlers know, not by what the connection has received. Closing because of too many connections asked the same question. Change: a connection is closed if the HTTP server waits for a request on it and the socket has nothing to read. It is closed at once, without lingering: a request that crosses the close is not read, so its caller may repeat it, whatever its method. Lingering protects a response on its way; an idle connection has none.

--- a/src/verbenacross/node/caller_connections.py
+++ b/src/verbenacross/node/caller_connections.py
@@ -69,39 +69,29 @@
         now = self._loop.time()
         idle_cutoff = now - self.idle_timeout_s - IDLE_MARGIN_S
         head_cutoff = now - self.header_timeout_s
-        for connection in server.connections:
-            idle_since = getattr(connection, "idle_since", math.inf)
-            if idle_since == math.inf:
+        for connection in server.caller_connections:
+            if connection.idle_since == math.inf:
                 continue
-            head_since = getattr(connection, "head_since", math.inf)
-            if head_since < head_cutoff:
-                close(connection, CloseReason.SLOW_HEAD)
-            elif idle_since < idle_cutoff:
-                close(connection, CloseReason.IDLE)
+            if connection.head_since < head_cutoff:
+                connection.close_if_idle(CloseReason.SLOW_HEAD)
+            elif connection.idle_since < idle_cutoff:
+                connection.close_if_idle(CloseReason.IDLE)
         self._close_excess(server)
 
     def _close_excess(self, server: CallerServer) -> None:
         """Closes the connections idle the longest while too many are open."""
         connections = [
             connection
-            for connection in server.connections
-            if not (isinstance(connection, CallerProtocol) and connection.is_closing())
+            for connection in server.caller_connections
+            if not connection.is_closing()
         ]
         excess = len(connections) - self._max_connections
         if excess <= 0:
             return
         idle = [
-            connection
-            for connection in connections
-            if getattr(connection, "idle_since", math.inf) < math.inf
+            connection for connection in connections if connection.idle_since < math.inf
         ]
-        idle.sort(key=lambda connection: getattr(connection, "idle_since", math.inf))
+        idle.sort(key=lambda connection: connection.idle_since)
         logger.warning("too many caller connections", extra={"surplus": excess})
         for connection in idle[:excess]:
-            close(connection, CloseReason.TOO_MANY)
-
-
-def close(connection: web.RequestHandler, reason: CloseReason) -> None:
-    """Closes a connection of the server; the reason is logged."""
-    if isinstance(connection, CallerProtocol):
-        connection.close_because(reason)
+            connection.close_if_idle(CloseReason.TOO_MANY)
--- a/src/verbenacross/transport/caller_protocol.py
+++ b/src/verbenacross/transport/caller_protocol.py
@@ -26,6 +26,7 @@
     retrieve_exception,
 )
 from .response_body import reset_connection
+from .unread_input import has_unread_input
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterator
@@ -115,9 +116,27 @@
         super().connection_lost(exc)
         self._cancel_ahead()
 
-    def close_because(self, reason: CloseReason) -> None:
-        """Closes the connection at once, for a reason that is not a response."""
+    def is_idle(self) -> bool:
+        """Returns whether the connection waits for a request and none has arrived.
+
+        ``idle_since`` does not tell that: it is kept until the handler of the next
+        request begins, which is later than the event that reads the request.
+        """
+        is_waiting = self._waiter is not None and not self._waiter.done()
+        if not is_waiting or self.is_closing():
+            return False
+        return not has_unread_input(self._connection.get_extra_info("socket"))
+
+    def close_if_idle(self, reason: CloseReason) -> None:
+        """Closes the connection unless a request has arrived.
+
+        A request that arrives afterwards is not read, so its caller may repeat it.
+        """
+        if not self.is_idle():
+            return
         self.close_reason = reason
+        if not self.get_unsent_bytes():
+            self._connection.close_now()
         self.force_close()
 
     def _handle_close(self) -> None:
--- a/src/verbenacross/transport/caller_server.py
+++ b/src/verbenacross/transport/caller_server.py
@@ -69,7 +69,8 @@
         return protocol
 
     @property
-    def _caller_connections(self) -> list[CallerProtocol]:
+    def caller_connections(self) -> list[CallerProtocol]:
+        """The open connections."""
         return [
             connection
             for connection in self.connections
@@ -83,7 +84,7 @@
         have been handled. They are lost if the process ends.
         """
         return sum(
-            connection.get_unsent_bytes() for connection in self._caller_connections
+            connection.get_unsent_bytes() for connection in self.caller_connections
         )
 
     async def wait_sent(self, timeout_s: float) -> bool:
@@ -97,7 +98,7 @@
 
     async def shutdown(self, timeout: float | None = None) -> None:  # noqa: ASYNC109
         """Closes all connections; what has yet to be sent may be lost."""
-        connections = self._caller_connections
+        connections = self.caller_connections
         for connection in connections:
             connection.close_reason = CloseReason.STOP
         await super().shutdown(timeout)
--- a/tests/transport/test_closed_connections.py
+++ b/tests/transport/test_closed_connections.py
@@ -57,7 +57,7 @@
     await reader.readuntil(b"\r\n\r\n")
     await asyncio.sleep(0.1)
 
-    site.connection.close_because(CloseReason.IDLE)
+    site.connection.close_if_idle(CloseReason.IDLE)
 
     (closed,) = site.closed
     assert closed.reason is CloseReason.IDLE
@@ -72,10 +72,11 @@
     writer.write(REQUEST + REQUEST)
     await wait_for(lambda: site.server.connections and site.connection._request_count)
 
-    site.connection.close_because(CloseReason.TOO_MANY)
+    site.connection.close_reason = CloseReason.STALLED
+    site.connection.force_close()
 
     assert [(c.reason, c.requests, c.unanswered) for c in site.closed] == [
-        (CloseReason.TOO_MANY, 2, 2)
+        (CloseReason.STALLED, 2, 2)
     ]
     writer.close()
 
