Keep idle connections of callers for the time that they were told

What callers saw: requests on connections that they rightly took as open got nothing after the operator had lowered idle_timeout. Cause: the new limit applied at once to connections that were idle already. Their callers cannot know it; they could not know any limit, as no response stated one. Change: each response states the limit in force (Keep-Alive), and a connection is kept for the time that its last response stated, or for the limit in force if that is longer. A lower limit applies from a connection's next response.

--- a/src/verbenacross/node/caller_connections.py
+++ b/src/verbenacross/node/caller_connections.py
@@ -18,8 +18,8 @@
     from ..transport.closed_connection import ClosedConnection
 
 SWEEP_INTERVAL_S = 0.5
-# Callers may still apply the idle timeout of an earlier configuration, and a request
-# may be in transit when the timeout ends.
+# A request that was sent within the timeout may still be in transit when it ends, and
+# callers may go by a longer timeout of the operator than they were told.
 IDLE_MARGIN_S = 1.5
 # Share of the file descriptors that caller connections may use. The rest is for
 # upstreams, probes and peers.
@@ -37,7 +37,7 @@
 
     def __init__(self, max_descriptors: int) -> None:
         self._max_connections = int(max_descriptors * CALLER_DESCRIPTOR_SHARE)
-        self.idle_timeout_s = 60.0
+        self.idle_timeout_s = math.inf
         self.header_timeout_s = math.inf
         self.max_header_bytes = math.inf
         self._loop = asyncio.get_running_loop()
@@ -67,17 +67,24 @@
         """Closes the connections that exceed a limit now."""
         server.max_head_bytes = self.max_header_bytes
         now = self._loop.time()
-        idle_cutoff = now - self.idle_timeout_s - IDLE_MARGIN_S
         head_cutoff = now - self.header_timeout_s
         for connection in server.caller_connections:
             if connection.idle_since == math.inf:
                 continue
             if connection.head_since < head_cutoff:
                 connection.close_if_idle(CloseReason.SLOW_HEAD)
-            elif connection.idle_since < idle_cutoff:
+            elif now - connection.idle_since > self._get_idle_limit_s(connection):
                 connection.close_if_idle(CloseReason.IDLE)
         self._close_excess(server)
 
+    def _get_idle_limit_s(self, connection: CallerProtocol) -> float:
+        """Returns how long a connection may stay idle.
+
+        A lower timeout applies from the next response on: the caller of a connection
+        that is idle already goes by the one that it was told.
+        """
+        return max(self.idle_timeout_s, connection.kept_idle_s) + IDLE_MARGIN_S
+
     def _close_excess(self, server: CallerServer) -> None:
         """Closes the connections idle the longest while too many are open."""
         connections = [
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -164,6 +164,7 @@
         server = CallerServer(
             self.handler.handle,
             accepts_ahead=lambda: not self.shutdown.drain.started,
+            get_idle_timeout_s=lambda: self.connections.idle_timeout_s,
             access_log=None,
             auto_decompress=False,
             max_line_size=MAX_HEADER_BYTES,
--- a/src/verbenacross/transport/caller_protocol.py
+++ b/src/verbenacross/transport/caller_protocol.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, cast
 
 import logbook
-from aiohttp import web
+from aiohttp import hdrs, web
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.http_writer import StreamWriter
 from aiohttp.streams import EMPTY_PAYLOAD
@@ -58,13 +58,15 @@
     """Server protocol of a caller's connection.
 
     ``idle_since`` is the event loop's time at which the last response was sent, or
-    infinity while a request is handled. ``head_since`` is the time since which the
-    head of the next request is incomplete, or infinity. While ``accepts_ahead`` returns
-    true, requests that were sent ahead are handled in parallel; they are answered in
-    order. ``get_max_head_bytes`` returns the limit on the size of a head. The
-    connection is reset if its caller takes none of a response for ``STALL_TIMEOUT_S``.
-    ``report_close`` is called when this process begins to close the connection, with
-    ``close_reason``; ``closed`` is set then.
+    infinity while a request is handled. ``kept_idle_s`` is the time for which the
+    caller may expect the connection to be kept idle since then: the one that
+    ``get_idle_timeout_s`` returned for the last response, 0 if no limit was known.
+    ``head_since`` is the time since which the head of the next request is incomplete,
+    or infinity. While ``accepts_ahead`` returns true, requests that were sent ahead are
+    handled in parallel; they are answered in order. ``get_max_head_bytes`` returns the
+    limit on the size of a head. The connection is reset if its caller takes none of a
+    response for ``STALL_TIMEOUT_S``. ``report_close`` is called when this process
+    begins to close the connection, with ``close_reason``; ``closed`` is set then.
     """
 
     __slots__ = (
@@ -79,19 +81,23 @@
         "accepts_ahead",
         "close_reason",
         "closed",
+        "get_idle_timeout_s",
         "get_max_head_bytes",
         "head_since",
         "idle_since",
+        "kept_idle_s",
         "report_close",
     )
 
     accepts_ahead: Callable[[], bool]
+    get_idle_timeout_s: Callable[[], float]
     get_max_head_bytes: Callable[[], float]
     report_close: Callable[[ClosedConnection], None]
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts serving a new connection."""
         self.idle_since = asyncio.get_running_loop().time()
+        self.kept_idle_s = self._read_idle_timeout_s()
         self.head_since = math.inf
         self._head_bytes = 0
         self._is_head_rejected = False
@@ -239,6 +245,21 @@
         if self._in_flight == 0:
             self.idle_since = self._loop.time()
 
+    def announce_idle_timeout(self, response: web.StreamResponse) -> None:
+        """States in a response how long its connection may stay idle afterwards.
+
+        Callers have no other way to know the limit that is in force. ``Keep-Alive`` has
+        whole seconds, so a limit below one second cannot be stated.
+        """
+        self.kept_idle_s = self._read_idle_timeout_s()
+        if response.keep_alive and self.kept_idle_s >= 1.0:
+            response.headers[hdrs.CONNECTION] = "keep-alive"
+            response.headers["Keep-Alive"] = f"timeout={int(self.kept_idle_s)}"
+
+    def _read_idle_timeout_s(self) -> float:
+        timeout_s = self.get_idle_timeout_s()
+        return timeout_s if timeout_s < math.inf else 0.0
+
     def has_requests_ahead(self) -> bool:
         """Returns whether requests behind the one being answered have started."""
         return bool(self._ahead)
--- a/src/verbenacross/transport/caller_server.py
+++ b/src/verbenacross/transport/caller_server.py
@@ -11,11 +11,16 @@
 from reactivex.subject import Subject
 
 from .caller_protocol import CallerProtocol
+from .caller_request import CallerRequest
 from .closed_connection import CloseReason
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from aiohttp import StreamReader
+    from aiohttp.abc import AbstractStreamWriter
+    from aiohttp.http import RawRequestMessage
+
     from .closed_connection import ClosedConnection
 
 
@@ -38,14 +43,16 @@
     While ``accepts_ahead`` returns true, requests that callers send ahead start before
     the earlier ones on their connection are answered. Their handlers wait for
     ``wait_turn`` before they send anything, or run anything that must not be repeated.
-    Request heads are limited to ``max_head_bytes``. ``closed_connections`` emits each
-    connection that this process closes.
+    Request heads are limited to ``max_head_bytes``. Responses state how long their
+    connection may stay idle, by ``get_idle_timeout_s``. ``closed_connections`` emits
+    each connection that this process closes.
     """
 
     def __init__(
         self,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         accepts_ahead: Callable[[], bool] = lambda: False,
+        get_idle_timeout_s: Callable[[], float] = lambda: math.inf,
         **options: Any,
     ) -> None:
         defaults = {
@@ -58,16 +65,28 @@
         self.closed_connections: Subject[ClosedConnection] = Subject()
         self.closed_connections.subscribe(log_closed_connection)
         self._accepts_ahead = accepts_ahead
+        self._get_idle_timeout_s = get_idle_timeout_s
         self._options = options
 
     def __call__(self) -> web.RequestHandler:
         """Creates the protocol of a new connection."""
         protocol = CallerProtocol(self, loop=self._loop, **self._options)
         protocol.accepts_ahead = self._accepts_ahead
+        protocol.get_idle_timeout_s = self._get_idle_timeout_s
         protocol.get_max_head_bytes = lambda: self.max_head_bytes
         protocol.report_close = self.closed_connections.on_next
         return protocol
 
+    def _make_request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: web.RequestHandler,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> CallerRequest:
+        return CallerRequest(message, payload, protocol, writer, task, self._loop)
+
     @property
     def caller_connections(self) -> list[CallerProtocol]:
         """The open connections."""
--- a/tests/node/test_closing_connections.py
+++ b/tests/node/test_closing_connections.py
@@ -26,7 +26,12 @@
     def __init__(self) -> None:
         self.handled = 0
         self.connections = CallerConnections(ALL_DESCRIPTORS)
-        self.server = CallerServer(self.handle, access_log=None)
+        self.connections.idle_timeout_s = 15.0
+        self.server = CallerServer(
+            self.handle,
+            get_idle_timeout_s=lambda: self.connections.idle_timeout_s,
+            access_log=None,
+        )
 
     async def handle(self, request):
         self.connections.mark_busy(request)
@@ -78,7 +83,6 @@
 
 
 def exceed_idle_timeout(site) -> None:
-    site.connections.idle_timeout_s = 15.0
     site.let_idle_time_pass(15.0 + IDLE_MARGIN_S + 0.1)
 
 
@@ -138,11 +142,6 @@
 
     They can know the new one from the next response, not while the connection is idle.
     """
-    site.connections.idle_timeout_s = 15.0
-    site.connections.sweep(site.server)
-    site.writer.write(REQUEST)
-    assert await site.read_status() == 200
-    await asyncio.sleep(0.02)
     site.let_idle_time_pass(9.0)
     site.connections.idle_timeout_s = 3.0
     site.connections.sweep(site.server)
@@ -151,14 +150,16 @@
     site.writer.write(REQUEST)
 
     assert await site.read_status() == 200
-    assert site.handled == 3
+    assert site.handled == 2
 
 
 async def test_lower_idle_timeout_applies_from_the_next_response_on(site):
     site.connections.idle_timeout_s = 3.0
     site.connections.sweep(site.server)
     site.writer.write(REQUEST)
-    assert await site.read_status() == 200
+    head = await site.reader.readuntil(b"the response")
+    assert b"\r\nConnection: keep-alive\r\n" in head
+    assert b"\r\nKeep-Alive: timeout=3\r\n" in head
     await asyncio.sleep(0.02)
     site.let_idle_time_pass(3.0 + IDLE_MARGIN_S + 0.1)
     site.connections.sweep(site.server)
@@ -166,6 +167,18 @@
     assert await site.read_status() == 0
 
 
+async def test_higher_idle_timeout_applies_to_idle_connections(site):
+    """Callers may also go by the operator's configuration."""
+    site.connections.idle_timeout_s = 30.0
+    site.let_idle_time_pass(20.0)
+    site.connections.sweep(site.server)
+    await asyncio.sleep(0.02)
+
+    site.writer.write(REQUEST)
+
+    assert await site.read_status() == 200
+
+
 async def test_request_read_as_the_server_closes_is_answered(site):
     """Guards against requests that are read at the end of a stop and dropped."""
     site.connection.data_received(REQUEST)
