Answer what has been read behind a response during a stop

Cause: the response that closes the connection was chosen by which requests had started. Requests that had been read and not started were not counted, and during a stop none was started ahead. The class of fault is that of the idle connections: a decision to close by what the handlers know. Change: a response closes the connection only if nothing has arrived behind its request, in both programs. Requests are started ahead during a stop, too, but not once a response has announced the close.

--- a/src/verbenacross/entry/entry.py
+++ b/src/verbenacross/entry/entry.py
@@ -197,7 +197,7 @@
         try:
             response = await self._respond(request)
             if not response.prepared:
-                self._drain.set_connection_close(response)
+                self._drain.set_connection_close(request, response)
                 # Sent here, so that the request stays in flight until then.
                 await response.prepare(request)
                 await response.write_eof()
--- a/src/verbenacross/entry/exchange.py
+++ b/src/verbenacross/entry/exchange.py
@@ -292,7 +292,7 @@
                 reason=upstream_response.reason,
                 headers=headers,
             )
-            self._drain.set_connection_close(response)
+            self._drain.set_connection_close(self._request, response)
         elif should_buffer(upstream_response):
             body, _ = await read_limited(upstream_response, MAX_BUFFERED_BYTES)
             response = web.Response(
@@ -301,7 +301,7 @@
                 headers=headers,
                 body=body,
             )
-            self._drain.set_connection_close(response)
+            self._drain.set_connection_close(self._request, response)
         else:
             return await self._stream_response(upstream_response, headers)
         if self._should_retry(upstream_response):
@@ -320,7 +320,7 @@
             reason=upstream_response.reason,
             headers=headers,
         )
-        self._drain.set_connection_close(response)
+        self._drain.set_connection_close(self._request, response)
         try:
             await response.prepare(self._request)
             return await stream_body(upstream_response, response)
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -163,7 +163,7 @@
         settings = self.settings
         server = CallerServer(
             self.handler.handle,
-            accepts_ahead=lambda: not self.shutdown.drain.started,
+            accepts_ahead=lambda: True,
             get_idle_timeout_s=lambda: self.connections.idle_timeout_s,
             access_log=None,
             auto_decompress=False,
--- a/src/verbenacross/node/request_handler.py
+++ b/src/verbenacross/node/request_handler.py
@@ -11,7 +11,6 @@
 from ..balancing.balancing_context import BalancingContext
 from ..platform.headers import REMAINING_TIME, REQUEST_ID
 from ..routes.destination_selector import DestinationSelector
-from ..transport.caller_protocol import CallerProtocol
 from ..transport.exceptions import CallerBodyError, RequestTargetError
 from ..transport.request_ahead import wait_turn
 from ..transport.request_body import RequestBody
@@ -100,8 +99,7 @@
                 response = await self._respond(request, request_id, arrived, held)
                 if not response.prepared:
                     await wait_turn(request)
-                    if self._shutdown.drain.started and is_last_started(request):
-                        response.force_close()
+                    self._shutdown.drain.set_connection_close(request, response)
                     # Sent here, so that the request stays in flight until then.
                     await response.prepare(request)
                     await response.write_eof()
@@ -320,12 +318,6 @@
         logger.info(message, extra=fields)
 
 
-def is_last_started(request: web.BaseRequest) -> bool:
-    """Returns whether no request behind this one has started on its connection."""
-    protocol = request.protocol
-    return not isinstance(protocol, CallerProtocol) or not protocol.has_requests_ahead()
-
-
 def read_host(request: web.BaseRequest, target: RequestTarget) -> str:
     """Returns the host of a request without its port.
 
--- a/src/verbenacross/transport/caller_protocol.py
+++ b/src/verbenacross/transport/caller_protocol.py
@@ -75,6 +75,7 @@
         "_connection",
         "_head_bytes",
         "_in_flight",
+        "_is_close_announced",
         "_is_head_rejected",
         "_last_payload",
         "_stall_timer",
@@ -100,6 +101,7 @@
         self.kept_idle_s = self._read_idle_timeout_s()
         self.head_since = math.inf
         self._head_bytes = 0
+        self._is_close_announced = False
         self._is_head_rejected = False
         self._last_payload: Any = EMPTY_PAYLOAD
         self._in_flight = 0
@@ -131,7 +133,10 @@
         is_waiting = self._waiter is not None and not self._waiter.done()
         if not is_waiting or self.is_closing():
             return False
-        return not has_unread_input(self._connection.get_extra_info("socket"))
+        return not self._has_unread_input()
+
+    def _has_unread_input(self) -> bool:
+        return has_unread_input(self._connection.get_extra_info("socket"))
 
     def close_if_idle(self, reason: CloseReason) -> None:
         """Closes the connection unless a request has arrived.
@@ -206,10 +211,17 @@
             self._last_payload = self._messages[-1][1]
             is_head = False
         self._measure_head(len(data) if is_head and not self._buffer_paused else 0)
-        if self._messages and self.connected and self.accepts_ahead():
+        if self._messages and self.connected and self._accepts_ahead():
             for message, payload in self._find_ahead():
                 self._start_ahead(message, payload)
 
+    def _accepts_ahead(self) -> bool:
+        """Returns whether requests may start before those in front are answered.
+
+        Nothing behind a response that closes the connection is answered.
+        """
+        return self.accepts_ahead() and not self._is_close_announced
+
     def _measure_head(self, size: int) -> None:
         """Counts received bytes of an incomplete head; rejects one that is too large.
 
@@ -245,12 +257,13 @@
         if self._in_flight == 0:
             self.idle_since = self._loop.time()
 
-    def announce_idle_timeout(self, response: web.StreamResponse) -> None:
+    def announce_persistence(self, response: web.StreamResponse) -> None:
         """States in a response how long its connection may stay idle afterwards.
 
         Callers have no other way to know the limit that is in force. ``Keep-Alive`` has
         whole seconds, so a limit below one second cannot be stated.
         """
+        self._is_close_announced = not response.keep_alive
         self.kept_idle_s = self._read_idle_timeout_s()
         if response.keep_alive and self.kept_idle_s >= 1.0:
             response.headers[hdrs.CONNECTION] = "keep-alive"
@@ -260,9 +273,12 @@
         timeout_s = self.get_idle_timeout_s()
         return timeout_s if timeout_s < math.inf else 0.0
 
-    def has_requests_ahead(self) -> bool:
-        """Returns whether requests behind the one being answered have started."""
-        return bool(self._ahead)
+    def has_input_behind(self) -> bool:
+        """Returns whether anything has arrived behind the request being answered."""
+        if self._messages:
+            return True
+        is_body_read = self._last_payload.is_eof()
+        return is_body_read and not self.is_closing() and self._has_unread_input()
 
     def get_unsent_bytes(self) -> int:
         """Returns how many bytes of responses the process has yet to send."""
--- a/src/verbenacross/transport/caller_request.py
+++ b/src/verbenacross/transport/caller_request.py
@@ -18,4 +18,10 @@
     async def _prepare_hook(self, response: StreamResponse) -> None:
         """Completes the head of a response; called by the library before it is sent."""
         if isinstance(self.protocol, CallerProtocol):
-            self.protocol.announce_idle_timeout(response)
+            self.protocol.announce_persistence(response)
+
+
+def is_last_received(request: web.BaseRequest) -> bool:
+    """Returns whether nothing has arrived behind a request on its connection."""
+    protocol = request.protocol
+    return not (isinstance(protocol, CallerProtocol) and protocol.has_input_behind())
--- a/src/verbenacross/transport/drain.py
+++ b/src/verbenacross/transport/drain.py
@@ -7,6 +7,8 @@
 import time
 from typing import TYPE_CHECKING
 
+from .caller_request import is_last_received
+
 if TYPE_CHECKING:
     from aiohttp import web
 
@@ -67,9 +69,14 @@
         """
         return min(deadline, self._end - LAST_RESPONSE_S)
 
-    def set_connection_close(self, response: web.StreamResponse) -> None:
-        """Adds ``Connection: close`` to a response that is sent while draining."""
-        if self.started:
+    def set_connection_close(
+        self, request: web.BaseRequest, response: web.StreamResponse
+    ) -> None:
+        """Adds ``Connection: close`` to a response that is sent while draining.
+
+        A request that has arrived behind is answered before the connection closes.
+        """
+        if self.started and is_last_received(request):
             response.force_close()
 
     async def wait_idle(self, timeout_s: float) -> bool:
--- a/tests/node/test_late_requests.py
+++ b/tests/node/test_late_requests.py
@@ -202,3 +202,32 @@
     for name, status in statuses.items():
         assert len(slow_site.find_runs(name)) == (status == 200)
     assert not any(slow_site.find_runs(name) for name in unanswered_s)
+
+
+async def test_requests_read_behind_others_during_a_stop_are_answered(slow_site):
+    """Guards against requests that are dropped behind a response that closes.
+
+    The requests are sent ahead, at once and one by one; only the last response may
+    close the connection.
+    """
+    for upstream in slow_site.upstreams:
+        upstream.service_time_s = 0.3
+    node = slow_site.nodes[0]
+    connections = [await open_connection(node) for _ in range(2)]
+    node.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.2)
+    names = ("first", "second", "third")
+    for number, (_, writer) in enumerate(connections):
+        for name in names:
+            writer.write(build_head("/safe/x", f"{name}-{number}") + BODY)
+            await asyncio.sleep(0.1 * number)
+
+    for number, (reader, writer) in enumerate(connections):
+        received = (await reader.read()).lower()
+        writer.close()
+
+        assert re.findall(rb"http/1.1 (\d+) ", received) == [b"200"] * 3
+        ids = re.findall(rb"x-request-id: (\S+)", received)
+        assert ids == [f"{name}-{number}".encode() for name in names]
+        assert received.count(b"connection: close") == 1
+    assert await node.wait_exit() == 0
