Close the connections of callers one by one at the end of a stop

What callers could see: at the end of a planned stop the server closed all connections at once, with what had been read on them and was not yet handled; a handler that had just begun was cut off after 50 ms, and what arrived then was read and dropped. Change: a stop ends the listening, and then closes each connection once it is idle and has nothing unread, until the end of the grace period. The entry does the same until its drain time-out. Result: tests/node/test_closing_connections.py, test_late_requests.py and tests/integration/entry pass.

--- a/src/verbenacross/entry/entry.py
+++ b/src/verbenacross/entry/entry.py
@@ -151,6 +151,7 @@
                     "unsent_bytes": server.count_unsent_bytes(),
                 },
             )
+        await server.close_idle(end)
 
     def stop(self) -> None:
         """Starts a graceful shutdown."""
--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -193,7 +193,12 @@
         registration.cancel()
         removal = asyncio.create_task(self.registration.close())
         stack.callback(removal.cancel)
-        await self.shutdown.wait(server)
+
+        async def stop_listening() -> None:
+            for site in list(runner.sites):
+                await site.stop()
+
+        await self.shutdown.wait(server, stop_listening)
 
     async def _listen(
         self, runner: web.ServerRunner, listener: socket.socket | None
--- a/src/verbenacross/node/shutdown.py
+++ b/src/verbenacross/node/shutdown.py
@@ -11,6 +11,8 @@
 from ..transport.drain import Drain
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from ..transport.caller_server import CallerServer
     from .settings import NodeSettings
 
@@ -72,8 +74,10 @@
             DEREGISTRATION_DELAY_S, REFUSE_AFTER_SHARE * self.grace_s
         )
 
-    async def wait(self, server: CallerServer) -> None:
-        """Waits until the process may exit."""
+    async def wait(
+        self, server: CallerServer, stop_listening: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Waits until the process may exit, and closes the connections of callers."""
         await self.started.wait()
         end = self._get_end()
         refuse_at = self._started_at + max(
@@ -85,6 +89,8 @@
             await asyncio.sleep(min(LATE_REQUEST_S, max(0.0, end - self._loop.time())))
             if self.drain.in_flight == 0 and not server.count_unsent_bytes():
                 break
+        await stop_listening()
+        await server.close_idle(end)
         logger.info(
             "stopped",
             extra={
--- a/src/verbenacross/transport/caller_server.py
+++ b/src/verbenacross/transport/caller_server.py
@@ -33,6 +33,8 @@
 BODY_END_TIMEOUT_S = 1.0
 # Interval of the checks whether responses have been sent, in seconds.
 UNSENT_CHECK_INTERVAL_S = 0.02
+# Interval of the checks whether connections are idle, in seconds.
+CLOSE_CHECK_INTERVAL_S = 0.01
 
 logger = logbook.Logger("verbenacross.transport")
 
@@ -115,6 +117,21 @@
             await asyncio.sleep(UNSENT_CHECK_INTERVAL_S)
         return True
 
+    async def close_idle(self, end: float) -> None:
+        """Closes all connections once they are idle, until an event loop's time.
+
+        Requests that have arrived are handled. The server should accept no connections
+        any more.
+        """
+        is_closed = False
+        while not is_closed and self._loop.time() < end:
+            for connection in self.caller_connections:
+                connection.close_if_idle(CloseReason.STOP)
+            await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
+            is_closed = all(
+                connection.is_closing() for connection in self.caller_connections
+            )
+
     async def shutdown(self, timeout: float | None = None) -> None:  # noqa: ASYNC109
         """Closes all connections; what has yet to be sent may be lost."""
         connections = self.caller_connections
--- a/tests/node/test_closing_connections.py
+++ b/tests/node/test_closing_connections.py
@@ -25,6 +25,7 @@
 
     def __init__(self) -> None:
         self.handled = 0
+        self.handling_time_s = 0.0
         self.connections = CallerConnections(ALL_DESCRIPTORS)
         self.connections.idle_timeout_s = 15.0
         self.server = CallerServer(
@@ -36,6 +37,7 @@
     async def handle(self, request):
         self.connections.mark_busy(request)
         self.handled += 1
+        await asyncio.sleep(self.handling_time_s)
         try:
             return web.Response(text="the response")
         finally:
@@ -186,3 +188,52 @@
 
     assert await site.read_status() == 200
     await closing
+
+
+async def stop(site) -> None:
+    """Closes the connections as at the end of a planned stop."""
+    await site.server.close_idle(asyncio.get_running_loop().time() + 5.0)
+    await site.server.shutdown(0.05)
+
+
+async def test_request_read_at_the_end_of_a_stop_is_answered(site):
+    """Guards against a stop that cuts off a handler which has just begun."""
+    site.handling_time_s = 0.2
+    site.connection.data_received(REQUEST)
+    stopping = asyncio.create_task(stop(site))
+
+    assert await site.read_status() == 200
+    await stopping
+    assert await site.read_status() == 0
+
+
+async def test_request_that_arrives_at_the_end_of_a_stop_is_answered(site):
+    """Guards against requests that a stop reads and drops."""
+    site.receive_in_kernel(REQUEST)
+    stopping = asyncio.create_task(stop(site))
+
+    assert await site.read_status() == 200
+    await stopping
+    assert site.handled == 2
+
+
+async def test_request_that_crosses_the_end_of_a_stop_is_not_read(site):
+    """Guards against requests that a stop reads and drops."""
+    connection = site.connection
+    await site.server.close_idle(asyncio.get_running_loop().time() + 5.0)
+    with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+        site.receive_in_kernel(REQUEST)
+    await asyncio.sleep(0.02)
+
+    assert await site.read_status() == 0
+    assert connection._request_count == 1
+
+
+async def test_end_of_a_stop_does_not_wait_for_a_request_without_end(site):
+    site.handling_time_s = 5.0
+    site.connection.data_received(REQUEST)
+    started = asyncio.get_running_loop().time()
+
+    await site.server.close_idle(started + 0.1)
+
+    assert asyncio.get_running_loop().time() - started < 1.0
