Handle no request on a connection that this process has closed

Cause: the HTTP library begins the handler of each request that was read, whatever happened to the connection since. Result: without the check the new test in tests/transport/test_closed_connections.py fails, as the handler runs.

--- a/src/verbenacross/node/node.py
+++ b/src/verbenacross/node/node.py
@@ -18,6 +18,7 @@
 from ..feed.record_log import RecordLog
 from ..feed.store_reader import StoreReader
 from ..feed.synchronizer import Synchronizer
+from ..platform.headers import REQUEST_ID
 from ..platform.records import NODE_PREFIX, WATCHED_PREFIX, decode_change
 from ..platform.store import PlatformStore
 from ..quotas.customer_quotas import CustomerQuotas
@@ -165,6 +166,7 @@
             self.handler.handle,
             accepts_ahead=lambda: True,
             get_idle_timeout_s=lambda: self.connections.idle_timeout_s,
+            request_id_header=REQUEST_ID,
             access_log=None,
             auto_decompress=False,
             max_line_size=MAX_HEADER_BYTES,
@@ -172,6 +174,7 @@
             keepalive_timeout=LIBRARY_KEEPALIVE_S,
         )
         server.closed_connections.subscribe(self.metrics.record_closed_connection)
+        server.late_requests.subscribe(self.metrics.record_late_request)
         await serve_readiness(stack, settings.readiness_listen, self.is_ready)
         await serve_metrics(stack, settings.metrics_listen, self)
         runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
--- a/src/verbenacross/node/node_metrics.py
+++ b/src/verbenacross/node/node_metrics.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from ..hedging.hedge_policy import HedgeCounts
     from ..routes.route import Route
-    from ..transport.closed_connection import ClosedConnection
+    from ..transport.closed_connection import ClosedConnection, LateRequest
 
 # Upper bounds of the latency histogram, in seconds.
 LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
@@ -50,7 +50,7 @@
         )
         self._on_closed_connections = Counter(
             "verbenacross_requests_on_closed_connections_total",
-            "Requests that began on a connection which this process had closed",
+            "Requests that were to begin on a connection which this process had closed",
             registry=self.registry,
         )
         self._over_quota = Counter(
@@ -116,8 +116,8 @@
         if closed.unanswered:
             self._unanswered_requests.add(labels, closed.unanswered)
 
-    def record_request_on_closed_connection(self) -> None:
-        """Records a request that begins on a connection which was closed."""
+    def record_late_request(self, _: LateRequest) -> None:
+        """Records a request that was to begin on a connection which was closed."""
         self._on_closed_connections.inc({})
 
     def record_over_quota(self, customer: str) -> None:
--- a/src/verbenacross/node/request_handler.py
+++ b/src/verbenacross/node/request_handler.py
@@ -24,7 +24,6 @@
     from ..routes.route import Route
     from ..routes.route_table import RouteTable
     from ..transport.buffer_budget import BufferBudget, BufferReservation
-    from ..transport.closed_connection import ClosedConnection
     from ..transport.upstream_client import UpstreamClient
     from .balancer_registry import BalancerRegistry
     from .caller_connections import CallerConnections
@@ -88,12 +87,6 @@
         request_id = request.headers.get(REQUEST_ID, "")
         self._connections.mark_busy(request)
         self._shutdown.drain.begin_request()
-        closed = self._connections.find_close(request)
-        if closed is not None:
-            self._metrics.record_request_on_closed_connection()
-            self._log_on_closed(
-                request_id, arrived, "request on a closed connection", closed
-            )
         try:
             with self._buffers.open() as held:
                 response = await self._respond(request, request_id, arrived, held)
@@ -109,7 +102,11 @@
             if closed is None:
                 self._log(request_id, arrived, "caller disconnected", {})
             else:
-                self._log_on_closed(request_id, arrived, "request cut off", closed)
+                fields: dict[str, object] = {
+                    "closed_because": closed.reason.value,
+                    "caller": closed.caller,
+                }
+                self._log(request_id, arrived, "request cut off", fields)
             raise
         except ConnectionAbortedError as error:
             self._log(request_id, arrived, "response truncated", {"cause": str(error)})
@@ -299,17 +296,6 @@
             response.force_close()
         return response
 
-    def _log_on_closed(
-        self, request_id: str, arrived: float, message: str, closed: ClosedConnection
-    ) -> None:
-        """Logs what happens to a request on a connection that this process closed."""
-        fields: dict[str, object] = {
-            "closed_because": closed.reason.value,
-            "caller": closed.caller,
-            "idle_s": closed.idle_s,
-        }
-        self._log(request_id, arrived, message, fields)
-
     def _log(
         self, request_id: str, arrived: float, message: str, extra: dict[str, object]
     ) -> None:
--- a/src/verbenacross/transport/caller_protocol.py
+++ b/src/verbenacross/transport/caller_protocol.py
@@ -70,6 +70,8 @@
     limit on the size of a head. The connection is reset if its caller takes none of a
     response for ``STALL_TIMEOUT_S``. ``report_close`` is called when this process
     begins to close the connection, with ``close_reason``; ``closed`` is set then.
+    ``report_late_request`` is called with a request that was read and whose handler
+    would begin after that.
     """
 
     __slots__ = (
@@ -91,12 +93,14 @@
         "idle_since",
         "kept_idle_s",
         "report_close",
+        "report_late_request",
     )
 
     accepts_ahead: Callable[[], bool]
     get_idle_timeout_s: Callable[[], float]
     get_max_head_bytes: Callable[[], float]
     report_close: Callable[[ClosedConnection], None]
+    report_late_request: Callable[[BaseRequest, ClosedConnection], None]
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts serving a new connection."""
@@ -345,7 +349,14 @@
         start_time: float | None,
         request_handler: Callable[[BaseRequest], Awaitable[web.StreamResponse]],
     ) -> tuple[web.StreamResponse, bool]:
-        """Handles the next request of the connection, unless it was started ahead."""
+        """Handles the next request of the connection, unless it was started ahead.
+
+        Raises ``ConnectionAbortedError`` if the connection was closed since the request
+        was read: nothing could take the response.
+        """
+        if self.closed is not None:
+            self.report_late_request(request, self.closed)
+            raise ConnectionAbortedError("the connection was closed")
         if self._ahead and self._ahead[0].request._message is request._message:
             ahead = self._ahead.popleft()
             ahead.turn.set()
--- a/src/verbenacross/transport/caller_server.py
+++ b/src/verbenacross/transport/caller_server.py
@@ -12,7 +12,8 @@
 
 from .caller_protocol import CallerProtocol
 from .caller_request import CallerRequest
-from .closed_connection import CloseReason
+from .closed_connection import CloseReason, LateRequest
+from .headers import REQUEST_ID_HEADER
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -47,7 +48,8 @@
     ``wait_turn`` before they send anything, or run anything that must not be repeated.
     Request heads are limited to ``max_head_bytes``. Responses state how long their
     connection may stay idle, by ``get_idle_timeout_s``. ``closed_connections`` emits
-    each connection that this process closes.
+    each connection that this process closes, ``late_requests`` each request that was to
+    begin on one of them; it is not handled.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         accepts_ahead: Callable[[], bool] = lambda: False,
         get_idle_timeout_s: Callable[[], float] = lambda: math.inf,
+        request_id_header: str = REQUEST_ID_HEADER,
         **options: Any,
     ) -> None:
         defaults = {
@@ -66,8 +69,11 @@
         self.max_head_bytes = math.inf
         self.closed_connections: Subject[ClosedConnection] = Subject()
         self.closed_connections.subscribe(log_closed_connection)
+        self.late_requests: Subject[LateRequest] = Subject()
+        self.late_requests.subscribe(log_late_request)
         self._accepts_ahead = accepts_ahead
         self._get_idle_timeout_s = get_idle_timeout_s
+        self._request_id_header = request_id_header
         self._options = options
 
     def __call__(self) -> web.RequestHandler:
@@ -77,6 +83,7 @@
         protocol.get_idle_timeout_s = self._get_idle_timeout_s
         protocol.get_max_head_bytes = lambda: self.max_head_bytes
         protocol.report_close = self.closed_connections.on_next
+        protocol.report_late_request = self._report_late_request
         return protocol
 
     def _make_request(
@@ -98,6 +105,12 @@
             if isinstance(connection, CallerProtocol)
         ]
 
+    def _report_late_request(
+        self, request: web.BaseRequest, closed: ClosedConnection
+    ) -> None:
+        request_id = request.headers.get(self._request_id_header, "")
+        self.late_requests.on_next(LateRequest(request_id, closed))
+
     def count_unsent_bytes(self) -> int:
         """Returns how many bytes of responses have yet to be sent.
 
@@ -149,3 +162,15 @@
     level = logbook.WARNING if closed.unanswered else logbook.INFO
     fields = {**closed._asdict(), "reason": closed.reason.value}
     logger.log(level, "caller connection closed", extra=fields)
+
+
+def log_late_request(late: LateRequest) -> None:
+    """Logs a request on a connection that this process had closed."""
+    closed = late.closed
+    fields = {
+        "request_id": late.request_id,
+        "closed_because": closed.reason.value,
+        "caller": closed.caller,
+        "idle_s": closed.idle_s,
+    }
+    logger.error("request on a closed connection", extra=fields)
--- a/src/verbenacross/transport/closed_connection.py
+++ b/src/verbenacross/transport/closed_connection.py
@@ -31,3 +31,10 @@
     idle_s: float | None
     requests: int
     unanswered: int
+
+
+class LateRequest(NamedTuple):
+    """A request that was to begin on a connection which this process had closed."""
+
+    request_id: str
+    closed: ClosedConnection
--- a/tests/transport/test_closed_connections.py
+++ b/tests/transport/test_closed_connections.py
@@ -19,10 +19,12 @@
     def __init__(self) -> None:
         self.release = asyncio.Event()
         self.closed = []
+        self.handled = 0
         self.server = CallerServer(self.handle, access_log=None)
         self.server.closed_connections.subscribe(self.closed.append)
 
     async def handle(self, request):
+        self.handled += 1
         await self.release.wait()
         response = web.Response()
         if request.path == "/last":
@@ -81,6 +83,26 @@
     writer.close()
 
 
+async def test_request_on_a_closed_connection_is_not_handled(site):
+    """Guards against requests that are sent upstream though nobody gets the answer."""
+    late = []
+    site.server.late_requests.subscribe(late.append)
+    _, writer = await asyncio.open_connection("127.0.0.1", site.port)
+    await wait_for(lambda: site.server.connections)
+    await asyncio.sleep(0.02)
+    connection = site.connection
+    connection.data_received(REQUEST.replace(b"Host", b"X-Request-Id: r1\r\nHost"))
+    connection.close_reason = CloseReason.STALLED
+    connection.force_close()
+    await wait_for(lambda: late)
+
+    assert [(r.request_id, r.closed.reason) for r in late] == [
+        ("r1", CloseReason.STALLED)
+    ]
+    assert site.handled == 0
+    writer.close()
+
+
 async def test_connection_that_its_caller_closes_is_not_reported(site):
     site.release.set()
     reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
