Keep idle connections for a limit that was raised and lowered meanwhile

What callers saw: requests on connections that they rightly took as open got nothing after the operator had raised idle_timeout and lowered it again. Cause: a connection was kept for the longer of the limit that its last response stated and the one in force. The raised limit was forgotten as it was lowered, while callers that go by the operator's configuration may use it until the lower one must be in force. The case in tests/node/test_closing_connections.py failed before.

--- a/src/verbenacross/node/caller_connections.py
+++ b/src/verbenacross/node/caller_connections.py
@@ -37,11 +37,24 @@
 
     def __init__(self, max_descriptors: int) -> None:
         self._max_connections = int(max_descriptors * CALLER_DESCRIPTOR_SHARE)
-        self.idle_timeout_s = math.inf
+        self._idle_timeout_s = math.inf
+        # The longest idle timeout that was in force since the last sweep.
+        self._longest_idle_timeout_s = 0.0
         self.header_timeout_s = math.inf
         self.max_header_bytes = math.inf
         self._loop = asyncio.get_running_loop()
 
+    @property
+    def idle_timeout_s(self) -> float:
+        """The idle timeout in force, infinity while none is known."""
+        return self._idle_timeout_s
+
+    @idle_timeout_s.setter
+    def idle_timeout_s(self, timeout_s: float) -> None:
+        self._idle_timeout_s = timeout_s
+        if timeout_s < math.inf:
+            self._longest_idle_timeout_s = max(self._longest_idle_timeout_s, timeout_s)
+
     def mark_busy(self, request: web.BaseRequest) -> None:
         """Marks the connection of a request that has arrived as busy."""
         if isinstance(request.protocol, CallerProtocol):
@@ -68,7 +81,12 @@
         server.max_head_bytes = self.max_header_bytes
         now = self._loop.time()
         head_cutoff = now - self.header_timeout_s
+        longest_s = self._longest_idle_timeout_s
+        self._longest_idle_timeout_s = 0.0
+        self.idle_timeout_s = self._idle_timeout_s
         for connection in server.caller_connections:
+            # Callers may go by each timeout that was in force since the last response.
+            connection.kept_idle_s = max(connection.kept_idle_s, longest_s)
             if connection.idle_since == math.inf:
                 continue
             if connection.head_since < head_cutoff:
@@ -81,9 +99,10 @@
         """Returns how long a connection may stay idle.
 
         A lower timeout applies from the next response on: the caller of a connection
-        that is idle already goes by the one that it was told.
+        that is idle already goes by the one that it was told, or by a longer one that
+        the operator has set meanwhile.
         """
-        return max(self.idle_timeout_s, connection.kept_idle_s) + IDLE_MARGIN_S
+        return max(self._idle_timeout_s, connection.kept_idle_s) + IDLE_MARGIN_S
 
     def _close_excess(self, server: CallerServer) -> None:
         """Closes the connections idle the longest while too many are open."""
--- a/tests/node/test_closing_connections.py
+++ b/tests/node/test_closing_connections.py
@@ -179,6 +179,20 @@
     assert await site.read_status() == 200
 
 
+async def test_idle_timeout_that_is_raised_briefly_applies_to_idle_connections(site):
+    """Guards against a raised limit that is forgotten when it is lowered again."""
+    site.let_idle_time_pass(20.0)
+    site.connections.idle_timeout_s = 30.0
+    site.connections.idle_timeout_s = 3.0
+    for _ in range(2):
+        site.connections.sweep(site.server)
+    await asyncio.sleep(0.02)
+
+    site.writer.write(REQUEST)
+
+    assert await site.read_status() == 200
+
+
 async def test_request_read_as_the_server_closes_is_answered(site):
     """Guards against requests that are read at the end of a stop and dropped."""
     site.connection.data_received(REQUEST)
--- a/tests/node/test_kept_connections.py
+++ b/tests/node/test_kept_connections.py
@@ -214,9 +214,15 @@
     assert len(callers.calls) >= CALLERS
 
 
-async def test_limits_in_series_lose_no_request(site, start_callers):
-    """Guards against a limit that is lowered again while connections are idle."""
-    operator, callers = await start_callers(SHORT_S, (3.6, 4.4), 9.0)
+@pytest.mark.parametrize("follows_operator", [False, True])
+async def test_limits_in_series_lose_no_request(site, start_callers, follows_operator):
+    """Guards against a limit that was raised and lowered while connections were idle.
+
+    Some of them were told the short limit, and their callers go by the raised one.
+    """
+    operator, callers = await start_callers(
+        SHORT_S, (3.6, 4.4), 9.0, follows_operator=follows_operator
+    )
     await operator.set_idle_timeout(LONG_S)
     await asyncio.sleep(3.6)
     await operator.set_idle_timeout(SHORT_S)
