Reset connections whose close would end a response midway

What callers saw: a caller of HTTP/1.0 took a part of a response for the whole if the response failed midway with an unexpected error, or was cut off by the end of a stop: the connection was closed in order, which marks the end of a response without a length. Cause: only the places that relay a body reset the connection. An error that they do not expect, and the library's own close of connections, end the writing side in order. Change: the connection's protocol resets it if a response is sent in part and nothing but the close would mark its end.

--- a/src/verbenacross/transport/caller_protocol.py
+++ b/src/verbenacross/transport/caller_protocol.py
@@ -323,6 +323,24 @@
         self._answered_count += 1
         return result
 
+    def force_close(self) -> None:
+        """Closes the connection; a response that is sent in part ends there."""
+        if self._current_request is not None:
+            self._reset_if_truncated(self._current_request)
+        super().force_close()
+
+    def _reset_if_truncated(self, request: BaseRequest) -> None:
+        """Resets the connection if its orderly close would end a response.
+
+        What was sent of the response would look complete.
+        """
+        writer = request.writer
+        assert isinstance(writer, StreamWriter)
+        is_partial = writer.output_size > 0 and not writer._eof
+        has_marked_end = writer.chunked or writer.length is not None
+        if is_partial and not has_marked_end and self.transport is not None:
+            reset_connection(self.transport)
+
     def handle_error(
         self,
         request: BaseRequest,
@@ -332,6 +350,7 @@
     ) -> web.StreamResponse:
         """Builds the problem response to a malformed or failed request."""
         if request.writer.output_size > 0:
+            self._reset_if_truncated(request)
             raise ConnectionAbortedError("the answer is sent in part")
         if status >= HTTP_SERVER_ERROR:
             logger.error("request failed: {!r}", exc, extra={"path": request.path})
--- a/tests/transport/test_truncated_responses.py
+++ b/tests/transport/test_truncated_responses.py
@@ -1,4 +1,7 @@
-"""Responses whose end only the close of the connection marks."""
+"""Responses that end early, or whose end only the close of the connection marks.
+
+A caller of HTTP/1.0 takes an orderly close as the end of a response without a length.
+"""
 
 from __future__ import annotations
 
@@ -13,7 +16,7 @@
 
 
 class Site:
-    """A server whose responses have no length."""
+    """A server whose responses have no length, and that fails within some."""
 
     def __init__(self) -> None:
         self.server = CallerServer(
@@ -24,6 +27,13 @@
         response = web.StreamResponse()
         await response.prepare(request)
         await response.write(b"a part")
+        match request.path:
+            case "/failing":
+                raise RuntimeError("a fault within a response")
+            case "/timeout":
+                raise TimeoutError
+            case "/endless":
+                await asyncio.Event().wait()
         await response.write_eof(b" and the rest")
         return response
 
@@ -46,6 +56,23 @@
         await site.server.shutdown(0.01)
 
 
+@pytest.mark.parametrize("path", [b"failing", b"timeout"])
+async def test_response_that_fails_midway_does_not_look_complete(site, path):
+    """Guards against callers that take a part of a response for the whole."""
+    with pytest.raises(ConnectionResetError):
+        _, reader, _ = await site.call(path)
+        await asyncio.wait_for(reader.read(), 5.0)
+
+
+async def test_response_cut_off_by_a_stop_does_not_look_complete(site):
+    """Guards against callers that take a part of a response for the whole."""
+    _, reader, _ = await site.call(b"endless")
+    await site.server.shutdown(0.01)
+
+    with pytest.raises(ConnectionResetError):
+        await asyncio.wait_for(reader.read(), 5.0)
+
+
 async def test_response_that_only_a_close_ends_is_ended_by_one(site):
     """Guards against kept connections on which a caller waits for an end."""
     keep_alive = b"Connection: keep-alive\r\n"
