Keep connections after the refusal of a malformed target

What callers saw: requests sent ahead behind one with a malformed target (OPTIONS *, a fragment) got nothing. They had been passed on to upstreams, as the requests in front had no body. Cause: each 400 closed the connection. Only refusals of a request body need that, as the rest of the body may follow. Change: the refusals that close are listed by their problem, and malformed-target is not among them.

--- a/src/verbenacross/node/request_handler.py
+++ b/src/verbenacross/node/request_handler.py
@@ -48,6 +48,9 @@
 # Largest body of unknown length that is buffered so that it can be sent again.
 MAX_BUFFERED_BODY_BYTES = 65_536
 MAX_REMAINING_TIME_DIGITS = 12
+# Refusals after which the rest of the request body cannot be told from the next
+# request, or is not worth reading.
+BODY_PROBLEMS = frozenset({"body-too-large", "malformed-body", "slow-body"})
 
 logger = logbook.Logger("verbenacross.node.request")
 
@@ -297,7 +300,7 @@
         self._metrics.record_refusal(problem)
         self._log(request_id, arrived, "request refused", {"problem": problem})
         response = build_problem_response(status, problem, request_id, retry_after_s)
-        if status in (400, 408, 413):
+        if problem in BODY_PROBLEMS:
             response.force_close()
         return response
 
