Answer the requests that have started behind one that fails

What callers saw: if the handling of a request failed with an unexpected error, requests sent ahead behind it got nothing, while upstreams ran them. Cause: the 500 response always closed the connection. Change: it closes the connection only if no request behind has started. Those start only behind requests without a body, so nothing else can stand between. Result: tests/transport/test_requests_behind_faults.py failed before (connection closed after the 500) and passes, as do tests/transport, tests/node/test_callers.py and tests/node/test_answers.py.

--- a/src/verbenacross/transport/caller_protocol.py
+++ b/src/verbenacross/transport/caller_protocol.py
@@ -348,7 +348,11 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """Builds the problem response to a malformed or failed request."""
+        """Builds the problem response to a malformed or failed request.
+
+        It closes the connection unless requests behind have started. These start only
+        behind requests without a body, so that a response can follow.
+        """
         if request.writer.output_size > 0:
             self._reset_if_truncated(request)
             raise ConnectionAbortedError("the answer is sent in part")
@@ -359,7 +363,8 @@
             details = TOO_LARGE if isinstance(exc, LineTooLong) else MALFORMED
             details = details._replace(detail=(message or "").partition("\n")[0])
         response = details.build_response(uuid.uuid4().hex)
-        response.force_close()
+        if not self._ahead:
+            response.force_close()
         return response
 
 
