Count idle time from when a caller has taken the last response

What callers saw: on a slow link, a response of 1 MB can take longer than idle_timeout after the process has handed it to the kernel. The connection was closed behind it, so a caller that had been told Keep-Alive: timeout=15 met a closed connection with its next request, sent as soon as the response had arrived. Cause: idle time was counted from the end of the request's handler, when only the kernel had the response. A caller that takes nothing does not restart it.

--- a/src/verbenacross/node/caller_connections.py
+++ b/src/verbenacross/node/caller_connections.py
@@ -71,6 +71,7 @@
         for connection in server.caller_connections:
             if connection.idle_since == math.inf:
                 continue
+            connection.track_delivery()
             if connection.head_since < head_cutoff:
                 connection.close_if_idle(CloseReason.SLOW_HEAD)
             elif now - connection.idle_since > self._get_idle_limit_s(connection):
--- a/src/verbenacross/transport/caller_protocol.py
+++ b/src/verbenacross/transport/caller_protocol.py
@@ -26,6 +26,7 @@
     retrieve_exception,
 )
 from .response_body import reset_connection
+from .unacknowledged_output import count_unacknowledged_bytes
 from .unread_input import has_unread_input
 
 if TYPE_CHECKING:
@@ -38,6 +39,8 @@
 # A connection on which more than 64 KiB wait to be sent is reset if its caller does not
 # take most of them within this time, in seconds.
 STALL_TIMEOUT_S = 10.0
+# Time in which a caller acknowledges what it has received, in seconds.
+ACKNOWLEDGE_S = 0.25
 # Requests of one connection that are handled before earlier ones are answered.
 MAX_REQUESTS_AHEAD = 8
 
@@ -58,7 +61,8 @@
     """Server protocol of a caller's connection.
 
     ``idle_since`` is the event loop's time at which the last response was sent, or
-    infinity while a request is handled. ``kept_idle_s`` is the time for which the
+    infinity while a request is handled. ``track_delivery`` moves it to the time at
+    which the caller took the response. ``kept_idle_s`` is the time for which the
     caller may expect the connection to be kept idle since then: the one that
     ``get_idle_timeout_s`` returned for the last response, 0 if no limit was known.
     ``head_since`` is the time since which the head of the next request is incomplete,
@@ -78,6 +82,8 @@
         "_is_head_rejected",
         "_last_payload",
         "_stall_timer",
+        "_track_from",
+        "_untaken_bytes",
         "accepts_ahead",
         "close_reason",
         "closed",
@@ -104,6 +110,8 @@
         self._last_payload: Any = EMPTY_PAYLOAD
         self._in_flight = 0
         self._answered_count = 0
+        self._track_from = math.inf
+        self._untaken_bytes: float = 0
         self.close_reason = CloseReason.RESPONSE
         self.closed: ClosedConnection | None = None
         self._ahead: deque[RequestAhead] = deque()
@@ -244,6 +252,24 @@
         self._in_flight -= 1
         if self._in_flight == 0:
             self.idle_since = self._loop.time()
+            self._track_from = self.idle_since + ACKNOWLEDGE_S
+            self._untaken_bytes = math.inf
+
+    def track_delivery(self) -> None:
+        """Restarts the idle time as the caller takes the last response.
+
+        The caller counts from then, which is later than ``end_request`` on a slow link.
+        """
+        is_early = self._loop.time() < self._track_from
+        if not self._untaken_bytes or is_early or self.is_closing():
+            return
+        untaken_bytes = self.get_unsent_bytes() + count_unacknowledged_bytes(
+            self._connection.get_extra_info("socket")
+        )
+        is_first = self._untaken_bytes == math.inf
+        if untaken_bytes < self._untaken_bytes and (untaken_bytes or not is_first):
+            self.idle_since = self._loop.time()
+        self._untaken_bytes = min(untaken_bytes, self._untaken_bytes)
 
     def announce_idle_timeout(self, response: web.StreamResponse) -> None:
         """States in a response how long its connection may stay idle afterwards.
