Close connections by the library's timer only if no request has arrived

What callers saw: a request that arrived at an entry as a connection had been idle for the library's 3,630 s (at a node, 86,400 s) got nothing: the library closed the connection, read on for 1 s and dropped what came. Cause: the library's timer closes connections on its own, by what it has read.

--- a/src/verbenacross/transport/caller_protocol.py
+++ b/src/verbenacross/transport/caller_protocol.py
@@ -39,6 +39,9 @@
 # A connection on which more than 64 KiB wait to be sent is reset if its caller does not
 # take most of them within this time, in seconds.
 STALL_TIMEOUT_S = 10.0
+# Time after which a connection that received bytes as its timer ended is checked again,
+# in seconds.
+IDLE_RECHECK_S = 1.0
 # Time in which a caller acknowledges what it has received, in seconds.
 ACKNOWLEDGE_S = 0.25
 # Requests of one connection that are handled before earlier ones are answered.
@@ -153,6 +156,21 @@
             self._connection.close_now()
         self.force_close()
 
+    def _process_keepalive(self) -> None:
+        """Closes the connection at the end of the library's timer if it is idle.
+
+        Called by the library, which would read on and drop what arrives meanwhile.
+        """
+        if self._loop.time() < self._next_keepalive_close_time:
+            super()._process_keepalive()
+            return
+        self._keepalive_handle = None
+        self.close_if_idle(CloseReason.IDLE)
+        if not self.is_closing():
+            self._keepalive_handle = self._loop.call_later(
+                IDLE_RECHECK_S, self._process_keepalive
+            )
+
     def _handle_close(self) -> None:
         """Reports that this process closes the connection."""
         reason = self.close_reason
