--- a/src/verbenacross/node/caller_connections.py
+++ b/src/verbenacross/node/caller_connections.py
@@ -89,6 +89,7 @@
             connection.kept_idle_s = max(connection.kept_idle_s, longest_s)
             if connection.idle_since == math.inf:
                 continue
+            connection.track_delivery()
             if connection.head_since < head_cutoff:
                 connection.refuse_slow_head()
             elif now - connection.idle_since > self._get_idle_limit_s(connection):
--- a/src/verbenacross/transport/caller_protocol.py
+++ b/src/verbenacross/transport/caller_protocol.py
@@ -26,6 +26,7 @@
     retrieve_exception,
 )
 from .response_body import reset_connection
+from .unacknowledged_output import count_unacknowledged_bytes
 from .unread_input import has_unread_input
 
 if TYPE_CHECKING:
@@ -38,6 +39,11 @@
 # A connection on which more than 64 KiB wait to be sent is reset if its caller does not
 # take most of them within this time, in seconds.
 STALL_TIMEOUT_S = 10.0
+# Time after which a connection that received bytes as its timer ended is checked again,
+# in seconds.
+IDLE_RECHECK_S = 1.0
+# Time in which a caller acknowledges what it has received, in seconds.
+ACKNOWLEDGE_S = 0.25
 # Requests of one connection that are handled before earlier ones are answered.
 MAX_REQUESTS_AHEAD = 8
 
@@ -61,7 +67,8 @@
     """Server protocol of a caller's connection.
 
     ``idle_since`` is the event loop's time at which the last response was sent, or
-    infinity while a request is handled. ``kept_idle_s`` is the time for which the
+    infinity while a request is handled. ``track_delivery`` moves it to the time at
+    which the caller took the response. ``kept_idle_s`` is the time for which the
     caller may expect the connection to be kept idle since then: the one that
     ``get_idle_timeout_s`` returned for the last response, 0 if no limit was known.
     ``head_since`` is the time since which the head of the next request is incomplete,
@@ -84,6 +91,8 @@
         "_is_head_rejected",
         "_last_payload",
         "_stall_timer",
+        "_track_from",
+        "_untaken_bytes",
         "accepts_ahead",
         "close_reason",
         "closed",
@@ -113,6 +122,8 @@
         self._last_payload: Any = EMPTY_PAYLOAD
         self._in_flight = 0
         self._answered_count = 0
+        self._track_from = math.inf
+        self._untaken_bytes: float = 0
         self.close_reason = CloseReason.RESPONSE
         self.closed: ClosedConnection | None = None
         self._ahead: deque[RequestAhead] = deque()
@@ -157,6 +168,21 @@
             self._connection.close_now()
         self.force_close()
 
+    def _process_keepalive(self) -> None:
+        """Closes the connection at the end of the library's timer if it is idle.
+
+        Called by the library, which would read on and drop what arrives meanwhile.
+        """
+        if self._loop.time() < self._next_keepalive_close_time:
+            super()._process_keepalive()
+            return
+        self._keepalive_handle = None
+        self.close_if_idle(CloseReason.IDLE)
+        if not self.is_closing():
+            self._keepalive_handle = self._loop.call_later(
+                IDLE_RECHECK_S, self._process_keepalive
+            )
+
     def _handle_close(self) -> None:
         """Reports that this process closes the connection."""
         reason = self.close_reason
@@ -275,6 +301,24 @@
         self._in_flight -= 1
         if self._in_flight == 0:
             self.idle_since = self._loop.time()
+            self._track_from = self.idle_since + ACKNOWLEDGE_S
+            self._untaken_bytes = math.inf
+
+    def track_delivery(self) -> None:
+        """Restarts the idle time as the caller takes the last response.
+
+        The caller counts from then, which is later than ``end_request`` on a slow link.
+        """
+        is_early = self._loop.time() < self._track_from
+        if not self._untaken_bytes or is_early or self.is_closing():
+            return
+        untaken_bytes = self.get_unsent_bytes() + count_unacknowledged_bytes(
+            self._connection.get_extra_info("socket")
+        )
+        is_first = self._untaken_bytes == math.inf
+        if untaken_bytes < self._untaken_bytes and (untaken_bytes or not is_first):
+            self.idle_since = self._loop.time()
+        self._untaken_bytes = min(untaken_bytes, self._untaken_bytes)
 
     def announce_persistence(self, response: web.StreamResponse) -> None:
         """States in a response how long its connection may stay idle afterwards.
@@ -365,6 +409,24 @@
         self._answered_count += 1
         return result
 
+    def force_close(self) -> None:
+        """Closes the connection; a response that is sent in part ends there."""
+        if self._current_request is not None:
+            self._reset_if_truncated(self._current_request)
+        super().force_close()
+
+    def _reset_if_truncated(self, request: BaseRequest) -> None:
+        """Resets the connection if its orderly close would end a response.
+
+        What was sent of the response would look complete.
+        """
+        writer = request.writer
+        assert isinstance(writer, StreamWriter)
+        is_partial = writer.output_size > 0 and not writer._eof
+        has_marked_end = writer.chunked or writer.length is not None
+        if is_partial and not has_marked_end and self.transport is not None:
+            reset_connection(self.transport)
+
     def handle_error(
         self,
         request: BaseRequest,
@@ -372,8 +434,13 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """Builds the problem response to a malformed or failed request."""
+        """Builds the problem response to a malformed or failed request.
+
+        It closes the connection unless requests behind have started. These start only
+        behind requests without a body, so that a response can follow.
+        """
         if request.writer.output_size > 0:
+            self._reset_if_truncated(request)
             raise ConnectionAbortedError("the answer is sent in part")
         if status >= HTTP_SERVER_ERROR:
             logger.error("request failed: {!r}", exc, extra={"path": request.path})
@@ -386,7 +453,8 @@
                 details = TOO_LARGE
             details = details._replace(detail=(message or "").partition("\n")[0])
         response = details.build_response(uuid.uuid4().hex)
-        response.force_close()
+        if not self._ahead:
+            response.force_close()
         return response
 
 
