Close idle connections of callers also in a stop without time left

What callers see: if a request in flight uses up the grace period, or the drain timeout of an entry, a request that arrives on another kept connection at that moment is read and dropped. Cause: close_idle made no pass once its time had passed, so these connections were left to the HTTP library, which ignores what it reads from then on and closes them after the last handlers have ended. Change: close_idle makes at least one pass. Idle connections are closed both ways, so that nothing more is read on them; requests that have arrived are handled within the time that the server leaves to handlers.

--- a/src/verbenacross/transport/caller_server.py
+++ b/src/verbenacross/transport/caller_server.py
@@ -134,14 +134,15 @@
         """Closes all connections once they are idle, until an event loop's time.
 
         Requests that have arrived are handled. The server should accept no connections
-        any more.
+        any more. Idle connections are closed also if that time has passed, as
+        ``shutdown`` would read requests on them and drop them.
         """
         is_closed = False
-        while not is_closed and self._loop.time() < end:
+        while not is_closed:
             for connection in self.caller_connections:
                 connection.close_if_idle(CloseReason.STOP)
             await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
-            is_closed = all(
+            is_closed = self._loop.time() >= end or all(
                 connection.is_closing() for connection in self.caller_connections
             )
 
--- a/tests/node/test_closing_connections.py
+++ b/tests/node/test_closing_connections.py
@@ -256,6 +256,42 @@
     assert connection._request_count == 1
 
 
+async def stop_after_its_end(site) -> None:
+    """Closes the connections as a stop does whose time another request used up."""
+    await site.server.close_idle(asyncio.get_running_loop().time())
+    site.server.pre_shutdown()
+    await site.server.shutdown(0.05)
+
+
+async def test_request_that_arrives_as_the_time_of_a_stop_ends_is_answered(site):
+    """Guards against requests that are read and dropped when a stop has no time left.
+
+    A request in flight on another connection may use up the time.
+    """
+    site.receive_in_kernel(REQUEST)
+    stopping = asyncio.create_task(stop_after_its_end(site))
+
+    assert await site.read_status() == 200
+    await stopping
+    assert site.handled == 2
+
+
+async def test_request_that_crosses_a_stop_without_time_left_is_not_read(site):
+    """Guards against requests that are read and dropped when a stop has no time left.
+
+    Its other connections are closed only after the last handlers have ended.
+    """
+    connection = site.connection
+    await site.server.close_idle(asyncio.get_running_loop().time())
+
+    assert connection.is_closing()
+    with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+        site.receive_in_kernel(REQUEST)
+    await asyncio.sleep(0.02)
+    assert await site.read_status() == 0
+    assert connection._request_count == 1
+
+
 async def test_end_of_a_stop_does_not_wait_for_a_request_without_end(site):
     site.handling_time_s = 5.0
     site.connection.data_received(REQUEST)
