Close the test server at the end of a stop as the runner does

test_request_that_arrives_at_the_end_of_a_stop_is_answered passed without close_idle: shutdown alone left the event loop a turn to read the request. The runner calls pre_shutdown before, after which the library reads nothing more. With it the test fails if close_idle does nothing, as it should; the other tests of the stop do as before.

--- a/tests/node/test_closing_connections.py
+++ b/tests/node/test_closing_connections.py
@@ -220,6 +220,7 @@
 async def stop(site) -> None:
     """Closes the connections as at the end of a planned stop."""
     await site.server.close_idle(asyncio.get_running_loop().time() + 5.0)
+    site.server.pre_shutdown()
     await site.server.shutdown(0.05)
 
 
