Don't close a connection as idle while the head of a request arrives

What callers see: a request of which one packet was read as the idle timeout ended gets no answer, while one whose head is slow is refused with 408. Change: once a head has begun, the header timeout decides alone. Result: the new test in tests/node/test_closing_connections.py failed before and passes now. Too many connections and a stop still close a connection within a head.

--- a/src/verbenacross/node/caller_connections.py
+++ b/src/verbenacross/node/caller_connections.py
@@ -73,7 +73,10 @@
                 continue
             if connection.head_since < head_cutoff:
                 connection.refuse_slow_head()
-            elif now - connection.idle_since > self._get_idle_limit_s(connection):
+            elif (
+                connection.head_since == math.inf
+                and now - connection.idle_since > self._get_idle_limit_s(connection)
+            ):
                 connection.close_if_idle(CloseReason.IDLE)
         self._close_excess(server)
 
--- a/tests/node/test_closing_connections.py
+++ b/tests/node/test_closing_connections.py
@@ -166,6 +166,21 @@
     assert await site.read_status() == 200
 
 
+async def test_request_whose_head_has_begun_is_not_cut_off_as_idle(site):
+    """Guards against requests of which only the first packet was read in time."""
+    site.connections.header_timeout_s = 3.0
+    site.writer.write(REQUEST[:20])
+    await asyncio.sleep(0.02)
+    exceed_idle_timeout(site)
+    site.connections.sweep(site.server)
+    await asyncio.sleep(0.02)
+    with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+        site.receive_in_kernel(REQUEST[20:])
+
+    assert await site.read_status() == 200
+    assert site.handled == 2
+
+
 async def test_lower_idle_timeout_does_not_close_what_callers_may_use(site):
     """Guards against requests on connections whose callers go by the limit before.
 
