Test what counts as input behind a request during a stop

Neither the check of unread bytes nor the one that a body is complete was guarded: all tests passed without them. Each of the two new tests fails without its check.

--- a/tests/node/test_closing_connections.py
+++ b/tests/node/test_closing_connections.py
@@ -316,3 +316,29 @@
     await site.server.close_idle(started + 0.1)
 
     assert asyncio.get_running_loop().time() - started < 1.0
+
+
+async def test_request_behind_that_was_not_read_counts_as_input(site):
+    """Guards against requests that have arrived and are dropped during a stop.
+
+    The bytes are in the kernel when the response before them is sent.
+    """
+    connection = site.connection
+    assert not connection.has_input_behind()
+
+    site.receive_in_kernel(REQUEST)
+
+    assert connection.has_input_behind()
+
+
+async def test_body_that_was_not_read_is_no_request_behind(site):
+    """Guards against a stop that takes the rest of a body for a further request."""
+    connection = site.connection
+    head = b"POST / HTTP/1.1\r\nHost: host.example\r\nContent-Length: 10\r\n\r\n"
+    site.handling_time_s = 0.1
+    connection.data_received(head)
+    await asyncio.sleep(0.02)
+
+    site.receive_in_kernel(b"x" * 10)
+
+    assert not connection.has_input_behind()
