--- a/src/verbenacross/node/caller_connections.py
+++ b/src/verbenacross/node/caller_connections.py
@@ -92,7 +92,10 @@
             connection.track_delivery()
             if connection.head_since < head_cutoff:
                 connection.refuse_slow_head()
-            elif now - connection.idle_since > self._get_idle_limit_s(connection):
+            elif (
+                connection.head_since == math.inf
+                and now - connection.idle_since > self._get_idle_limit_s(connection)
+            ):
                 connection.close_if_idle(CloseReason.IDLE)
         self._close_excess(server)
 
--- a/tests/node/test_closing_connections.py
+++ b/tests/node/test_closing_connections.py
@@ -166,6 +166,21 @@
     assert await site.read_status() == 200
 
 
+async def test_request_whose_head_has_begun_is_not_cut_off_as_idle(site):
+    """Guards against requests of which only the first packet was read in time."""
+    site.connections.header_timeout_s = 3.0
+    site.writer.write(REQUEST[:20])
+    await asyncio.sleep(0.02)
+    exceed_idle_timeout(site)
+    site.connections.sweep(site.server)
+    await asyncio.sleep(0.02)
+    with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+        site.receive_in_kernel(REQUEST[20:])
+
+    assert await site.read_status() == 200
+    assert site.handled == 2
+
+
 async def test_lower_idle_timeout_does_not_close_what_callers_may_use(site):
     """Guards against requests on connections whose callers go by the limit before.
 
@@ -234,6 +249,7 @@
 async def stop(site) -> None:
     """Closes the connections as at the end of a planned stop."""
     await site.server.close_idle(asyncio.get_running_loop().time() + 5.0)
+    site.server.pre_shutdown()
     await site.server.shutdown(0.05)
 
 
@@ -270,6 +286,42 @@
     assert connection._request_count == 1
 
 
+async def stop_after_its_end(site) -> None:
+    """Closes the connections as a stop does whose time another request used up."""
+    await site.server.close_idle(asyncio.get_running_loop().time())
+    site.server.pre_shutdown()
+    await site.server.shutdown(0.05)
+
+
+async def test_request_that_arrives_as_the_time_of_a_stop_ends_is_answered(site):
+    """Guards against requests that are read and dropped when a stop has no time left.
+
+    A request in flight on another connection may use up the time.
+    """
+    site.receive_in_kernel(REQUEST)
+    stopping = asyncio.create_task(stop_after_its_end(site))
+
+    assert await site.read_status() == 200
+    await stopping
+    assert site.handled == 2
+
+
+async def test_request_that_crosses_a_stop_without_time_left_is_not_read(site):
+    """Guards against requests that are read and dropped when a stop has no time left.
+
+    Its other connections are closed only after the last handlers have ended.
+    """
+    connection = site.connection
+    await site.server.close_idle(asyncio.get_running_loop().time())
+
+    assert connection.is_closing()
+    with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+        site.receive_in_kernel(REQUEST)
+    await asyncio.sleep(0.02)
+    assert await site.read_status() == 0
+    assert connection._request_count == 1
+
+
 async def test_end_of_a_stop_does_not_wait_for_a_request_without_end(site):
     site.handling_time_s = 5.0
     site.connection.data_received(REQUEST)
@@ -278,3 +330,29 @@
     await site.server.close_idle(started + 0.1)
 
     assert asyncio.get_running_loop().time() - started < 1.0
+
+
+async def test_request_behind_that_was_not_read_counts_as_input(site):
+    """Guards against requests that have arrived and are dropped during a stop.
+
+    The bytes are in the kernel when the response before them is sent.
+    """
+    connection = site.connection
+    assert not connection.has_input_behind()
+
+    site.receive_in_kernel(REQUEST)
+
+    assert connection.has_input_behind()
+
+
+async def test_body_that_was_not_read_is_no_request_behind(site):
+    """Guards against a stop that takes the rest of a body for a further request."""
+    connection = site.connection
+    head = b"POST / HTTP/1.1\r\nHost: host.example\r\nContent-Length: 10\r\n\r\n"
+    site.handling_time_s = 0.1
+    connection.data_received(head)
+    await asyncio.sleep(0.02)
+
+    site.receive_in_kernel(b"x" * 10)
+
+    assert not connection.has_input_behind()
