Reset closing connections whose callers take nothing

What was seen: a connection that is closed with up to 64 KiB left to be sent stayed open for as long as its caller took nothing, and counted as no connection against the limit. Cause: the time in which the transport reads on began anew as long as bytes were unsent. Change: 10 s after the close began, the connection is reset. Result: the new case in tests/transport/test_lingering_transport.py fails before and passes.

--- a/src/verbenacross/transport/lingering_transport.py
+++ b/src/verbenacross/transport/lingering_transport.py
@@ -12,6 +12,9 @@
 # Time for a caller to close its side of a connection once all has been sent, in
 # seconds.
 LINGER_S = 1.0
+# Time for a caller to take what is left to be sent as its connection closes, in
+# seconds.
+MAX_LINGER_S = 10.0
 
 
 class LingeringTransport:
@@ -22,13 +25,15 @@
     its next request before it has the last response would lose that response (RFC
     9112, section 9.6). So closing ends the writing side only. The protocol has to
     ignore what arrives from then on, until the caller closes its side or ``LINGER_S``
-    after all has been sent. ``handle_close`` is called when this process begins to
+    after all has been sent. A caller that has not taken all within ``MAX_LINGER_S`` is
+    reset. ``handle_close`` is called when this process begins to
     close the connection, not when it is lost.
     """
 
     __slots__ = (
         "_handle_close",
         "_is_closing",
+        "_linger_end",
         "_loop",
         "_timer",
         "_transport",
@@ -43,6 +48,7 @@
         self._handle_close = handle_close
         self._loop = asyncio.get_running_loop()
         self._is_closing = False
+        self._linger_end = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self.write = transport.write
         self.writelines = transport.writelines
@@ -65,6 +71,7 @@
             # The caller has reset the connection.
             self._transport.close()
             return
+        self._linger_end = self._loop.time() + MAX_LINGER_S
         self._transport.resume_reading()
         self._timer = self._loop.call_later(LINGER_S, self._end_linger)
 
@@ -74,7 +81,10 @@
             self._handle_close()
 
     def _end_linger(self) -> None:
-        if self._transport.get_write_buffer_size():
+        is_sending = bool(self._transport.get_write_buffer_size())
+        if is_sending and self._loop.time() >= self._linger_end:
+            self._transport.abort()
+        elif is_sending:
             self._timer = self._loop.call_later(LINGER_S, self._end_linger)
         else:
             self._transport.close()
--- a/tests/transport/test_lingering_transport.py
+++ b/tests/transport/test_lingering_transport.py
@@ -82,6 +82,18 @@
         await protocol.lost.wait()
 
 
+async def test_connection_ends_though_its_caller_takes_nothing(connection, monkeypatch):
+    """Guards against descriptors that callers hold by taking no response."""
+    monkeypatch.setattr(lingering_transport, "MAX_LINGER_S", 2 * LINGER_S)
+    protocol, caller = connection
+    await asyncio.sleep(0)
+    protocol.transport._transport.get_write_buffer_size = lambda: 1
+    protocol.transport._linger_end = asyncio.get_running_loop().time() + 2 * LINGER_S
+
+    async with asyncio.timeout(LINGER_S * 10):
+        await protocol.lost.wait()
+
+
 async def test_closing_at_once_does_not_wait_for_the_caller(connection):
     protocol, _ = connection
     await asyncio.sleep(0)
