Tell callers that always send ahead to close during a stop

What callers saw: on a connection with requests always behind, let no response close the connection during a stop. Cause: the input behind a response was not bounded. Change: with the second response of a stop that has input behind it, reading ends; what has been read is answered, and the last response closes the connection. What comes later is not read. Result: test_caller_that_always_sends_ahead_is_told_to_close fails before (connection cut off) and passes.

--- a/src/verbenacross/transport/caller_protocol.py
+++ b/src/verbenacross/transport/caller_protocol.py
@@ -89,6 +89,8 @@
         "_in_flight",
         "_is_close_announced",
         "_is_head_rejected",
+        "_is_input_ended",
+        "_is_input_ending",
         "_last_payload",
         "_stall_timer",
         "_track_from",
@@ -118,6 +120,7 @@
         self.head_since = math.inf
         self._head_bytes = 0
         self._is_close_announced = False
+        self._is_input_ending = self._is_input_ended = False
         self._is_head_rejected = False
         self._last_payload: Any = EMPTY_PAYLOAD
         self._in_flight = 0
@@ -237,6 +240,10 @@
         """Parses requests and starts those sent ahead."""
         if self._is_head_rejected or self._connection.is_closing():
             return
+        if data and self._is_input_ended:
+            # The library has resumed reading as its queue of requests emptied.
+            self._connection.pause_reading()
+            return
         parsed_before = len(self._messages)
         is_head = self._last_payload.is_eof()
         super().data_received(data)
@@ -338,11 +345,22 @@
 
     def has_input_behind(self) -> bool:
         """Returns whether anything has arrived behind the request being answered."""
-        if self._messages:
-            return True
+        if self._messages or self._is_input_ended:
+            return bool(self._messages)
         is_body_read = self._last_payload.is_eof()
         return is_body_read and not self.is_closing() and self._has_unread_input()
 
+    def end_input(self) -> None:
+        """Takes no requests that arrive after the next response.
+
+        Called with each response of a stop behind which something has arrived. A caller
+        that always sends ahead would otherwise never be told to close.
+        """
+        if self._is_input_ending and self._last_payload.is_eof():
+            self._is_input_ended = True
+            self._connection.pause_reading()
+        self._is_input_ending = True
+
     def get_unsent_bytes(self) -> int:
         """Returns how many bytes of responses the process has yet to send."""
         return int(self._connection.get_write_buffer_size())
--- a/src/verbenacross/transport/caller_request.py
+++ b/src/verbenacross/transport/caller_request.py
@@ -35,7 +35,13 @@
         return not is_chunked and response.content_length is None
 
 
-def is_last_received(request: web.BaseRequest) -> bool:
-    """Returns whether nothing has arrived behind a request on its connection."""
+def end_input(request: web.BaseRequest) -> bool:
+    """Ends the input of a request's connection, after what has arrived already.
+
+    Returns whether nothing has arrived behind the request.
+    """
     protocol = request.protocol
-    return not (isinstance(protocol, CallerProtocol) and protocol.has_input_behind())
+    if not isinstance(protocol, CallerProtocol) or not protocol.has_input_behind():
+        return True
+    protocol.end_input()
+    return False
--- a/src/verbenacross/transport/drain.py
+++ b/src/verbenacross/transport/drain.py
@@ -7,7 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from .caller_request import is_last_received
+from .caller_request import end_input
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -76,7 +76,7 @@
 
         A request that has arrived behind is answered before the connection closes.
         """
-        if self.started and is_last_received(request):
+        if self.started and end_input(request):
             response.force_close()
 
     async def wait_idle(self, timeout_s: float) -> bool:
--- a/tests/node/test_late_requests.py
+++ b/tests/node/test_late_requests.py
@@ -231,3 +231,36 @@
         assert ids == [f"{name}-{number}".encode() for name in names]
         assert received.count(b"connection: close") == 1
     assert await node.wait_exit() == 0
+
+
+async def test_caller_that_always_sends_ahead_is_told_to_close(slow_site):
+    """Guards against connections that are held until a stop cuts them off."""
+    for upstream in slow_site.upstreams:
+        upstream.service_time_s = 0.05
+    node = slow_site.nodes[0]
+    reader, writer = await open_connection(node)
+    sent = 0
+
+    async def send_ahead() -> None:
+        nonlocal sent
+        while True:
+            sent += 1
+            writer.write(build_head("/safe/x", f"r{sent}") + BODY)
+            await writer.drain()
+            await asyncio.sleep(0.005)
+
+    sender = asyncio.create_task(send_ahead())
+    await asyncio.sleep(0.5)
+    node.send_signal(signal.SIGTERM)
+    started = time.monotonic()
+    received = (await reader.read()).lower()
+    duration_s = time.monotonic() - started
+    sender.cancel()
+    writer.close()
+
+    statuses = re.findall(rb"http/1.1 (\d+) ", received)
+    assert set(statuses) == {b"200"}
+    assert received.count(b"connection: close") == 1
+    assert received.rindex(b"connection: close") > received.rindex(b"http/1.1 200 ")
+    assert duration_s < REFUSED_FROM_S
+    assert await node.wait_exit() == 0
