Linger on idle connections whose response is on its way

What callers saw: a connection that was closed as idle at once, with a response still in the kernel, was reset by the caller's next request. Cause: asked only for what the process had yet to send, not for what the kernel had. Change: the connection is closed at once only if the caller has acknowledged all. Otherwise it lingers. The case of a caller that takes nothing waits for the end of the lingering now, as the response is protected for that time.

--- a/src/verbenacross/transport/caller_protocol.py
+++ b/src/verbenacross/transport/caller_protocol.py
@@ -162,12 +162,14 @@
     def close_if_idle(self, reason: CloseReason) -> None:
         """Closes the connection unless a request has arrived.
 
-        A request that arrives afterwards is not read, so its caller may repeat it.
+        A request that arrives afterwards is not read, so its caller may repeat it. If
+        the last response is still on its way, the connection lingers to protect it.
         """
         if not self.is_idle():
             return
         self.close_reason = reason
-        if not self.get_unsent_bytes():
+        sock = self._connection.get_extra_info("socket")
+        if not self.get_unsent_bytes() and not count_unacknowledged_bytes(sock):
             self._connection.close_now()
         self.force_close()
 
