Require every field of an upstream's entry

What callers saw: another writer replaced the entry of a draining upstream by one without version, sequence, warmup_left and born.

Cause: the decoder took 0 for a missing born, sequence or warmup_left and did not ask for version. The entry counted as valid, its start time of 0 as a restart, which also wiped Server-Leaving and the report that the records of a restored store are compared with.

Change: all fields that the entries of servers have are required. Any other entry names no upstream; what the upstream said of itself holds.

build_server of tests/node/test_restored_beliefs.py wrote entries without version and warmup_left, which are invalid now; it writes complete ones.

--- a/src/verbenacross/balancing/upstream.py
+++ b/src/verbenacross/balancing/upstream.py
@@ -16,9 +16,9 @@
     """Description of an upstream as it registered itself.
 
     ``cold_start_s`` is how many more seconds it stays slow after its start.
-    ``started_ms`` is the Unix time of that start, 0 if unknown; a later start under the
-    same id is a new process without the state of the earlier one. ``sequence`` counts
-    its reports since then.
+    ``started_ms`` is the Unix time of that start; a later start under the same id is a
+    new process without the state of the earlier one. ``sequence`` counts its reports
+    since then.
     """
 
     id: str
--- a/tests/node/test_odd_entries.py
+++ b/tests/node/test_odd_entries.py
@@ -4,16 +4,21 @@
 
 import asyncio
 import json
+import time
 
 import pytest
 
 from .conftest import build_rule, wait_until
+from .test_notices import call_until
 
 # Deeper than the recursion limit of the interpreter.
 NESTING = 100_000
 # More than the slots of both upstreams, so that requests wait.
 CALLS = 18
 SERVICE_TIME_S = 0.1
+# Time in which requests show whether an entry is used. Nodes read changes in quick
+# succession 0.5 s after the last ones.
+OBSERVATION_S = 0.8
 
 
 def build_entry(address="127.0.0.1:9", service="service-a", **changes):
@@ -122,3 +127,82 @@
     results = await asyncio.gather(*calls)
 
     assert {status for status, _, _ in results} == {200}
+
+
+VERSION, SEQUENCE = ("info", "version"), ("status", "sequence")
+WARMUP, BORN = ("status", "warmup_left"), ("born",)
+# Fields that the entries of other writers lack.
+INCOMPLETE_ENTRIES = (
+    (VERSION, SEQUENCE, WARMUP, BORN),
+    (VERSION,),
+    (SEQUENCE,),
+    (WARMUP,),
+    (BORN,),
+)
+
+
+def leave_out(entry, *paths):
+    """Returns a copy of an entry without some of its fields."""
+    entry = json.loads(json.dumps(entry))
+    for *parents, name in paths:
+        target = entry
+        for parent in parents:
+            target = target[parent]
+        del target[name]
+    return entry
+
+
+async def play_incomplete_entries(site, node, upstream) -> None:
+    """Writes entries of other writers, which state that an upstream is ready."""
+    for paths in INCOMPLETE_ENTRIES:
+        entry = leave_out(upstream.describe("ready"), *paths)
+        await site.store.put(f"servers/{upstream.id}", entry)
+        await call_until(node, build_end(OBSERVATION_S))
+
+
+def build_end(seconds):
+    end = time.monotonic() + seconds
+    return lambda: time.monotonic() > end
+
+
+async def test_draining_upstream_gets_no_request_for_an_incomplete_entry(site):
+    """Guards against entries of other writers that end the draining of an upstream."""
+    node = site.nodes[0]
+    draining, other = site.upstreams
+    await site.store.put(f"servers/{draining.id}", draining.describe("draining"))
+    await wait_until(lambda: node.find_lines("upstream draining", upstream=draining.id))
+    await call_until(node, build_end(OBSERVATION_S))
+    count = len(draining.runs)
+
+    await play_incomplete_entries(site, node, draining)
+    # The upstream goes on to report that it is draining.
+    await site.store.put(f"servers/{draining.id}", draining.describe("draining"))
+    statuses = await call_until(node, build_end(OBSERVATION_S))
+
+    assert len(draining.runs) == count
+    assert set(statuses) == {200}
+    assert other.runs
+    lines = node.find_lines("invalid upstream entry", upstream=draining.id)
+    assert len(lines) == len(INCOMPLETE_ENTRIES)
+
+
+async def test_upstream_that_states_that_it_leaves_is_not_restarted_by_an_entry(site):
+    """Guards against entries without a start time that are taken for a restart."""
+    node = site.nodes[0]
+    leaving = site.upstreams[0]
+    leaving.is_leaving = True
+    while not node.find_lines("upstream states that it leaves"):
+        await node.call(request_id=f"c{time.monotonic_ns()}")
+    # Responses of the upstream state nothing from now on, its entry remains ready.
+    leaving.is_leaving = False
+    await call_until(node, build_end(OBSERVATION_S))
+    count = len(leaving.runs)
+
+    await play_incomplete_entries(site, node, leaving)
+    await site.store.put(f"servers/{leaving.id}", leaving.describe("ready"))
+    statuses = await call_until(node, build_end(OBSERVATION_S))
+
+    assert len(leaving.runs) == count
+    assert set(statuses) == {200}
+    lines = node.find_lines("invalid upstream entry", upstream=leaving.id)
+    assert len(lines) == len(INCOMPLETE_ENTRIES)
--- a/tests/node/test_restored_beliefs.py
+++ b/tests/node/test_restored_beliefs.py
@@ -93,8 +93,13 @@
     document = {
         "address": "10.0.0.9:80",
         "born": born,
-        "info": {"service": "one", "zone": "a", "max_concurrency": 1},
-        "status": {"state": state, "sequence": sequence},
+        "info": {
+            "service": "one",
+            "version": "v1",
+            "zone": "a",
+            "max_concurrency": 1,
+        },
+        "status": {"state": state, "sequence": sequence, "warmup_left": "0ms"},
     }
     return json.dumps(document).encode()
 
@@ -170,6 +175,28 @@
     run_in_virtual_time(play())
 
 
+def test_incomplete_entry_does_not_replace_the_last_report():
+    """Guards against a copy that outweighs a report because of an incomplete entry."""
+
+    async def play():
+        store, instance = build_site()
+        saved = store.copy()
+        store.write(SERVER_PREFIX + "u", build_server(1, 2, "draining"))
+        instance.synchronize()
+        entry = json.loads(build_server(1, 3))
+        del entry["born"], entry["status"]["sequence"]
+        store.write(SERVER_PREFIX + "u", json.dumps(entry).encode())
+        instance.synchronize()
+        assert not instance.is_usable("u")
+
+        store.restore(saved)
+        instance.synchronize()
+
+        assert not instance.is_usable("u")
+
+    run_in_virtual_time(play())
+
+
 def test_evacuation_missing_from_two_copies_ends():
     """Guards against an evacuation that stays for ever after two returns."""
 
--- a/tests/platform/test_server_entries.py
+++ b/tests/platform/test_server_entries.py
@@ -49,6 +49,16 @@
     return json.dumps(entry).encode()
 
 
+def remove_field(path: str) -> bytes:
+    entry = json.loads(json.dumps(ENTRY))
+    *parents, name = path.split(".")
+    target = entry
+    for parent in parents:
+        target = target[parent]
+    del target[name]
+    return json.dumps(entry).encode()
+
+
 def test_sound_entry():
     upstream = read(json.dumps(ENTRY).encode()).upstream
 
@@ -78,13 +88,19 @@
         ("address", "10.128.0.9"),
         ("info", []),
         ("info.service", 3),
+        ("info.version", 3),
         ("info.zone", None),
         ("info.max_concurrency", "6"),
         ("info.max_concurrency", 0),
         ("status", "ready"),
         ("status.state", "resting"),
         ("status.warmup_left", 1500),
+        ("status.warmup_left", None),
+        ("status.sequence", "4"),
+        ("status.sequence", None),
         ("born", 1.5),
+        ("born", "1760000000000"),
+        ("born", None),
     ],
 )
 def test_spoilt_entry_names_no_upstream_and_says_why(path, value):
@@ -94,6 +110,30 @@
     assert path.split(".")[0] in change.error
 
 
+@pytest.mark.parametrize(
+    "path",
+    [
+        "address",
+        "born",
+        "info",
+        "info.service",
+        "info.version",
+        "info.zone",
+        "info.max_concurrency",
+        "status",
+        "status.state",
+        "status.sequence",
+        "status.warmup_left",
+    ],
+)
+def test_entry_without_a_field_names_no_upstream(path):
+    """Guards against requests to a draining server for the entry of another writer."""
+    change = read(remove_field(path))
+
+    assert change.upstream is None
+    assert path in change.error
+
+
 @given(st.binary(max_size=64) | JSON_VALUES.map(lambda v: json.dumps(v).encode()))
 def test_nothing_in_an_entry_raises(data):
     read(data)
