Reject false where a document needs a number

An entry whose born or sequence is false was taken as valid, with the value 0: the checks of numbers rejected true only. The same holds for numbers of configurations and settings. Two cases of tests/platform/test_server_entries.py failed before.

--- a/src/verbenacross/documents/fields.py
+++ b/src/verbenacross/documents/fields.py
@@ -64,7 +64,7 @@
     ) -> int:
         """Returns an integer of at least ``minimum`` and at most ``maximum``."""
         value = self._fields.get(name, default)
-        if not isinstance(value, int) or value is True or value < minimum:
+        if not isinstance(value, int) or isinstance(value, bool) or value < minimum:
             self.add_finding(name, f"must be a whole number of at least {minimum}")
             return minimum
         if maximum is not None and value > maximum:
@@ -81,7 +81,11 @@
     ) -> float:
         """Returns a number of at least ``minimum`` and at most ``maximum``."""
         value = self._fields.get(name, default)
-        if isinstance(value, int | float) and value is not True and value >= minimum:
+        if (
+            isinstance(value, int | float)
+            and not isinstance(value, bool)
+            and value >= minimum
+        ):
             try:
                 number = float(value)
             except OverflowError:
--- a/tests/platform/test_server_entries.py
+++ b/tests/platform/test_server_entries.py
@@ -98,9 +98,11 @@
         ("status.warmup_left", None),
         ("status.sequence", "4"),
         ("status.sequence", None),
+        ("status.sequence", False),
         ("born", 1.5),
         ("born", "1760000000000"),
         ("born", None),
+        ("born", False),
     ],
 )
 def test_spoilt_entry_names_no_upstream_and_says_why(path, value):
