Read the store's era in the agent's client, too

The tracking of eras moves out of PlatformStore into EraTracker, which both clients use: an answer of an earlier era is an error of the store.

--- a/src/verbenacross/infrastructure/http_key_value_store.py
+++ b/src/verbenacross/infrastructure/http_key_value_store.py
@@ -18,6 +18,7 @@
     StoreUnavailableError,
 )
 from .key_value_store import StoredValue, StoreSnapshot
+from .store_era import ERA_HEADER, EraTracker
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -30,7 +31,10 @@
 
 
 class HttpKeyValueStore:
-    """Key-value store over HTTP; implements ``KeyValueStore``."""
+    """Key-value store over HTTP; implements ``KeyValueStore``.
+
+    ``era`` is the highest era of its responses.
+    """
 
     def __init__(
         self, session: aiohttp.ClientSession, url: str, timeout_ms: int = 2_000
@@ -38,6 +42,12 @@
         self._session = session
         self._url = url.rstrip("/")
         self._timeout_ms = timeout_ms
+        self._eras = EraTracker()
+
+    @property
+    def era(self) -> int:
+        """The highest era of the store's responses."""
+        return self._eras.era
 
     async def get(self, key: str) -> StoredValue | None:
         """Returns the value of a key, or ``None`` when it is absent."""
@@ -49,7 +59,7 @@
     async def read_prefix(self, prefix: str) -> StoreSnapshot:
         """Returns all values under a prefix."""
         _, response = await self._call("GET", "/v1/kv", params={"prefix": prefix})
-        return parse_snapshot(response)
+        return parse_snapshot(response, self.era)
 
     async def watch(self, prefix: str, revision: int, wait_ms: int) -> StoreSnapshot:
         """Returns the changes under a prefix after a revision."""
@@ -65,7 +75,7 @@
             raise HistoryLostError(
                 f"changes after revision {revision} are no longer held"
             )
-        return parse_snapshot(response)
+        return parse_snapshot(response, self.era)
 
     async def put(
         self, key: str, value: bytes, expected: int, lease: str | None = None
@@ -126,10 +136,12 @@
             ) as response:
                 content, is_complete = await read_limited(response, MAX_RESPONSE_BYTES)
                 status = response.status
+                era_text = response.headers.get(ERA_HEADER)
                 if not is_complete:
                     response.close()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise StoreUnavailableError(f"{method} {path}: {error!r}") from error
+        self._eras.record(era_text)
         if not is_complete:
             raise ResponseTooLargeError(
                 f"{method} {path}: the answer is longer than {MAX_RESPONSE_BYTES} bytes"
@@ -162,11 +174,11 @@
         raise StoreError(f"malformed value in the store's answer: {error!r}") from error
 
 
-def parse_snapshot(response: Any) -> StoreSnapshot:
-    """Parses a snapshot; raises ``StoreError`` if it is malformed."""
+def parse_snapshot(response: Any, era: int) -> StoreSnapshot:
+    """Parses a snapshot of an era; raises ``StoreError`` if it is malformed."""
     try:
         values = tuple(parse_value(entry) for entry in response["entries"])
-        return StoreSnapshot(int(response["revision"]), values)
+        return StoreSnapshot(int(response["revision"]), values, era)
     except (KeyError, TypeError, ValueError) as error:
         raise StoreError(
             f"malformed snapshot in the store's answer: {error!r}"
--- a/src/verbenacross/platform/store.py
+++ b/src/verbenacross/platform/store.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import aiohttp
-import logbook
 
 from ..documents.durations import format_milliseconds
 from ..infrastructure.exceptions import (
@@ -23,6 +22,7 @@
     StorePosition,
     StoreSnapshot,
 )
+from ..infrastructure.store_era import ERA_HEADER, EraTracker
 from ..transport.response_body import read_limited
 
 if TYPE_CHECKING:
@@ -39,19 +39,11 @@
 CHECK_TIMEOUT_S = 0.4
 # A short key, which need not exist.
 CHECKED_KEY = "verbenacross/check"
-# How often the store has been restored from a copy; rises by one each time.
-ERA_HEADER = "Store-Era"
-MAX_ERA_DIGITS = 18
-# Responses of an earlier era in a row after which that era is believed: more than can
-# have been under way when the later one began.
-MAX_EARLIER_RESPONSES = 10
 # Pages are about 1 MB, and the changes of one watch a few values of up to 1 MB.
 MAX_RESPONSE_BYTES = 8_388_608
 # The platform's upper limit on the wait of a watch.
 MAX_WAIT_MS = 30_000
 
-logger = logbook.Logger("verbenacross.platform.store")
-
 
 class StoreResponse(NamedTuple):
     """A response of the store, and the era in which the store sent it."""
@@ -75,8 +67,12 @@
         self._session = session
         self._url = f"http://{address}/verbenacross/"
         self._timeout_s = timeout_s
-        self.era = 0
-        self._earlier_responses = 0
+        self._eras = EraTracker()
+
+    @property
+    def era(self) -> int:
+        """The highest era of the store's responses."""
+        return self._eras.era
 
     async def get(self, key: str) -> StoredValue | None:
         """Returns the value of a key, or ``None`` when it is absent."""
@@ -222,7 +218,7 @@
                     response.close()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise StoreUnavailableError(f"{method} {path}: {error!r}") from error
-        era = self._record_era(era_text, may_be_stale=may_be_stale)
+        era = self._eras.record(era_text, may_be_stale=may_be_stale)
         if not is_complete:
             raise ResponseTooLargeError(
                 f"{method} {path}: the answer is longer than {MAX_RESPONSE_BYTES} bytes"
@@ -231,42 +227,6 @@
             raise StoreUnavailableError(f"{method} {path}: status {status}")
         return StoreResponse(*parse_response(status, content, f"{method} {path}"), era)
 
-    def _record_era(self, text: str | None, *, may_be_stale: bool) -> int:
-        """Records the era of a response; returns the latest one.
-
-        A missing or unreadable one is the last one known. Raises
-        ``StoreUnavailableError`` if it is lower than that, unless the response may be
-        older than the call. A lower era is believed once it has come for long, as the
-        higher one was a mistake then.
-        """
-        if text is None:
-            return self.era
-        era = parse_era(text)
-        if era is None:
-            logger.warning("unreadable era of the store", extra={"at": text[:40]})
-            return self.era
-        if may_be_stale and era < self.era:
-            return self.era
-        if era < self.era and self._earlier_responses < MAX_EARLIER_RESPONSES:
-            if self._earlier_responses == 0:
-                extra = {"era": era, "previous_era": self.era}
-                logger.warning("era of the store went back", extra=extra)
-            self._earlier_responses += 1
-            raise StoreUnavailableError(f"response of era {era} after era {self.era}")
-        self._earlier_responses = 0
-        if era != self.era:
-            extra = {"era": era, "previous_era": self.era}
-            logger.info("store era", extra=extra)
-            self.era = era
-        return era
-
-
-def parse_era(text: str) -> int | None:
-    """Returns the era in a header, ``None`` if it is not a whole number."""
-    if text.isascii() and text.isdecimal() and len(text) <= MAX_ERA_DIGITS:
-        return int(text)
-    return None
-
 
 def parse_response(status: int, content: bytes, call: str) -> tuple[int, Any]:
     """Parses a response into status and object; raises ``StoreError`` if malformed."""
