Order the agent's policies by era and revision

After the store had come back from an older copy, a policy written since was ignored while a lost one had a higher revision, and a peer's record below the watermark was retired on all agents.

Cause: revisions were compared without the era in which they hold. The console awaits the era, too.

--- a/src/verbenacross/agent/agent.py
+++ b/src/verbenacross/agent/agent.py
@@ -154,6 +154,7 @@
         return {
             "instance": self.settings.instance,
             "synchronized": self.synchronized,
+            "era": self.progress.era,
             "watermark": self.watermark,
             "in_force": self.get_in_force(),
             "records": {
--- a/src/verbenacross/agent/status.py
+++ b/src/verbenacross/agent/status.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from ..infrastructure.key_value_store import StorePosition
+from ..policy.table_progress import CARRY_OVER_S
 from ..settings import Finding
 
 if TYPE_CHECKING:
@@ -25,15 +27,23 @@
 def build_status(agent: Agent) -> dict[str, Any]:
     """Returns members, their revisions in force and findings as a JSON object.
 
+    ``watermark`` and each ``in_force`` are revisions of the store packed with their
+    era, which is the plain revision in era 0; ``era`` is that of the watermark.
     ``store_age_ms`` is the time since the last response of the store, ``null`` if this
     agent does not read the store.
     """
     reader = agent.reader_role.reader
     last_response_at = reader.last_response_at if agent.reader_role.is_reading else None
-    findings = [*agent.table.get_findings(), *reader.findings, *find_store_loss(agent)]
+    findings = [
+        *agent.table.get_findings(),
+        *reader.findings,
+        *find_store_loss(agent),
+        *find_carried_over(agent),
+    ]
     return {
         "instance": agent.settings.instance,
         "synchronized": agent.synchronized,
+        "era": agent.progress.era,
         "watermark": agent.watermark,
         "in_force": agent.get_in_force(),
         "isolated": agent.network.is_isolated(),
@@ -52,9 +62,24 @@
     """Returns a finding if the store is known to have lost writes."""
     if agent.progress.lost_after is None:
         return []
+    position = StorePosition.unpack(agent.progress.lost_after)
     message = (
-        f"the store was at revision {agent.progress.lost_after}, below a known one: it "
+        f"the store was at revision {position}, below a known one: it "
         "lost writes or answered late; the records in force are kept, and a record is "
         "replaced only by a higher revision"
     )
     return [Finding("store", "$.revision", message)]
+
+
+def find_carried_over(agent: Agent) -> list[Finding]:
+    """Returns a finding if a restored store lacks policies that are in force."""
+    era = agent.progress.era
+    count = agent.table.count_before_era(era)
+    if not count:
+        return []
+    message = (
+        f"{count} policies in force are not in the store, which was restored from a "
+        f"copy (era {era}): they are retired after {CARRY_OVER_S:.0f} s unless they "
+        "are written again"
+    )
+    return [Finding("store", "$.era", message)]
--- a/src/verbenacross/console/commands/status.py
+++ b/src/verbenacross/console/commands/status.py
@@ -47,6 +47,7 @@
 
 def format_status(status: FleetStatus) -> str:
     """Formats the status as a table, followed by the findings."""
+    from ...infrastructure.key_value_store import StorePosition
     from ..tables import format_table
 
     rows = [
@@ -54,13 +55,14 @@
             member.instance,
             member.failure_domain or "-",
             member.state,
-            str(member.in_force),
+            str(StorePosition.unpack(member.in_force)),
             "yes" if member.in_force >= status.watermark else "no",
         ]
         for member in sorted(status.members)
     ]
     header = ["INSTANCE", "FAILURE DOMAIN", "STATE", "IN FORCE", "CURRENT"]
-    lines = [f"as seen by {status.instance}, store revision {status.watermark}"]
+    position = StorePosition.unpack(status.watermark)
+    lines = [f"as seen by {status.instance}, store revision {position}"]
     lines.append(format_table(header, rows))
     lines += [f"finding: {finding}" for finding in status.findings]
     return "\n".join(lines)
--- a/src/verbenacross/console/in_force_waiter.py
+++ b/src/verbenacross/console/in_force_waiter.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
+from ..infrastructure.key_value_store import StorePosition
 from .exceptions import AgentUnreachableError
 
 if TYPE_CHECKING:
@@ -85,7 +86,7 @@
     if not lagging:
         return text
     names = [
-        f"{member.instance} ({member.state}) at {member.in_force}"
+        f"{member.instance} ({member.state}) at {StorePosition.unpack(member.in_force)}"
         for member in lagging[:MAX_LISTED_MEMBERS]
     ]
     omitted = len(lagging) - len(names)
--- a/src/verbenacross/console/store_session.py
+++ b/src/verbenacross/console/store_session.py
@@ -17,7 +17,6 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from ..infrastructure.key_value_store import KeyValueStore
     from ..settings import Finding
 
 
@@ -26,7 +25,7 @@
 
     settings: ClientSettings
     http: aiohttp.ClientSession
-    store: KeyValueStore
+    store: HttpKeyValueStore
 
 
 @asynccontextmanager
--- a/src/verbenacross/console/stored_policy.py
+++ b/src/verbenacross/console/stored_policy.py
@@ -5,6 +5,7 @@
 import json
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from ..infrastructure.key_value_store import StorePosition
 from ..policy import Policy, PolicyError
 from ..policy.parser import parse_record_body
 from ..policy.policy_record import POLICY_PREFIX
@@ -99,6 +100,7 @@
     """Parses a value under ``valid/``; returns ``None`` if it is malformed."""
     try:
         document = json.loads(value)
-        return ValidCopy(int(document["revision"]), str(document["record"]).encode())
+        position = StorePosition.unpack(int(document["revision"]))
+        return ValidCopy(position.revision, str(document["record"]).encode())
     except (ValueError, KeyError, TypeError):
         return None
--- a/src/verbenacross/console/write_command.py
+++ b/src/verbenacross/console/write_command.py
@@ -96,17 +96,22 @@
     async def finish_write(
         self, session: StoreSession, text: str, data: dict[str, Any], revision: int
     ) -> CommandResult:
-        """Builds the result of an accepted write; waits first if ``--wait`` is set."""
+        """Builds the result of an accepted write; waits first if ``--wait`` is set.
+
+        Agents report what is in force by era and revision.
+        """
         if not self.wait:
             return CommandResult(ExitCode.OK, text, data)
+        from ..infrastructure.key_value_store import StorePosition
         from .in_force_waiter import InForceWaiter
         from .status_reader import StatusReader
 
         reader = StatusReader(session.http, session.settings)
-        wait_result = await InForceWaiter(reader, self.wait_timeout_ms).wait(revision)
+        awaited = StorePosition(session.store.era, revision).pack()
+        wait_result = await InForceWaiter(reader, self.wait_timeout_ms).wait(awaited)
         serving = wait_result.status.get_serving_members() if wait_result.status else []
         lagging = (
-            wait_result.status.get_lagging_members(revision)
+            wait_result.status.get_lagging_members(awaited)
             if wait_result.status
             else []
         )
@@ -117,7 +122,7 @@
             "lagging_members": [member.instance for member in lagging],
         }
         code = ExitCode.OK if wait_result.in_force else ExitCode.NOT_IN_FORCE
-        return CommandResult(code, f"{text}; {wait_result.describe(revision)}", data)
+        return CommandResult(code, f"{text}; {wait_result.describe(awaited)}", data)
 
 
 def build_conflict_result(key: str, expected: int, current: int) -> CommandResult:
--- a/src/verbenacross/infrastructure/key_value_store.py
+++ b/src/verbenacross/infrastructure/key_value_store.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from enum import IntEnum
 from typing import NamedTuple, Protocol
 
 ABSENT_REVISION = 0
 MAX_VALUE_BYTES = 1_048_576
+# The bits of a packed position that hold the revision and the step.
+REVISION_BITS = 48
+STEP_BITS = 2
 
 
 class StoredValue(NamedTuple):
@@ -16,6 +20,18 @@
     revision: int
 
 
+class PositionStep(IntEnum):
+    """Why a record has a position of the store; later ones outweigh earlier ones.
+
+    The store wrote it there, a copy of an earlier era was carried over, or the store's
+    copy was taken after all.
+    """
+
+    WRITTEN = 0
+    CARRIED_OVER = 1
+    SETTLED = 2
+
+
 class StorePosition(NamedTuple):
     """A moment in the life of the store; positions are ordered by time.
 
@@ -26,6 +42,25 @@
     era: int
     revision: int
 
+    def __str__(self) -> str:
+        return f"{self.era}/{self.revision}" if self.era else str(self.revision)
+
+    def pack(self, step: PositionStep = PositionStep.WRITTEN) -> int:
+        """Returns the position as one number with the same order.
+
+        In era 0 it is the revision. In later eras a ``step`` orders decisions about a
+        read at this position between it and the next one.
+        """
+        if not self.era:
+            return self.revision
+        return self.era << REVISION_BITS | self.revision << STEP_BITS | step
+
+    @classmethod
+    def unpack(cls, packed: int) -> StorePosition:
+        """Returns the position that was packed into a number."""
+        era, revision = divmod(packed, 1 << REVISION_BITS)
+        return cls(era, revision >> STEP_BITS if era else revision)
+
 
 NO_POSITION = StorePosition(0, 0)
 
--- a/src/verbenacross/policy/policy_record.py
+++ b/src/verbenacross/policy/policy_record.py
@@ -5,6 +5,8 @@
 import re
 from typing import NamedTuple
 
+from ..infrastructure.key_value_store import StorePosition
+
 POLICY_PREFIX = "policies/"
 KEY_PATTERN = re.compile(r"policies/([a-z0-9][a-z0-9-]{0,62})/([1-9][0-9]{0,17})")
 
@@ -12,14 +14,20 @@
 class PolicyRecord(NamedTuple):
     """A copy of a policy record.
 
-    ``revision`` is the store's modification revision. An empty body means that the key
-    was deleted, which counts as retired.
+    ``revision`` is the store's modification revision, packed with the era in which it
+    holds (``StorePosition.pack``). An empty body means that the key was deleted, which
+    counts as retired.
     """
 
     key: str
     revision: int
     body: bytes
 
+    @property
+    def position(self) -> StorePosition:
+        """The era and the revision of the store's last modification."""
+        return StorePosition.unpack(self.revision)
+
 
 def build_key(service: str, version: int) -> str:
     """Builds the store key of a policy version."""
--- a/src/verbenacross/policy/policy_table.py
+++ b/src/verbenacross/policy/policy_table.py
@@ -1,4 +1,4 @@
-"""Merges copies of policy records by revision."""
+"""Merges copies of policy records by era and revision."""
 
 from __future__ import annotations
 
@@ -6,12 +6,14 @@
 
 from reactivex.subject import Subject
 
+from ..infrastructure.key_value_store import StorePosition
 from ..settings import Finding
 from .copy_digests import CopyDigests
 from .exceptions import PolicyError
 from .parser import parse_record_body
 from .policy import Policy
 from .policy_record import is_key, split_key
+from .superseded_copies import SupersededCopies
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -30,8 +32,9 @@
 class PolicyTable:
     """The latest copy and the copy in force of each policy record.
 
-    The latest copy is the one with the highest revision. The copy in force (``valid``)
-    is the latest valid one, except that a record that was once ``retired`` stays so.
+    The latest copy is the one with the highest revision, which is packed with its era.
+    The copy in force (``valid``) is the latest valid one, except that a record that was
+    once ``retired`` stays so. ``superseded`` holds the copies that were latest before.
     Copies of one revision are ordered by their bodies, which differ only after the
     store lost writes. The merge is commutative, associative and idempotent: late,
     duplicate and reordered copies do not affect the result. ``changes`` emits each copy
@@ -44,6 +47,7 @@
         self.policies: dict[str, Policy] = {}
         self.findings: dict[str, tuple[Finding, ...]] = {}
         self.digests = CopyDigests()
+        self.superseded = SupersededCopies()
         self.highest_revision = 0
         self.changes: Subject[PolicyRecord] = Subject()
         self._ranks: dict[str, Rank] = {}
@@ -53,7 +57,7 @@
         if not is_key(record.key) or self.latest.get(record.key) == record:
             return False
         before = tuple(self.get_copies_of(record.key))
-        parsed = parse_copy(record)
+        parsed = self._parse(record)
         replaced_latest = self._put_latest(record, parsed)
         replaced_valid = self._put_valid(record, parsed)
         if not replaced_latest and not replaced_valid:
@@ -82,16 +86,32 @@
         if latest is not None and latest != valid:
             yield latest
 
+    def count_before_era(self, era: int) -> int:
+        """Returns how many active policies have no copy of an era or a later one."""
+        return sum(
+            policy.state == "active" and self.latest[key].position.era < era
+            for key, policy in self.policies.items()
+        )
+
     def get_findings(self) -> list[Finding]:
         """Returns the findings of all records."""
         return [finding for found in self.findings.values() for finding in found]
 
+    def _parse(self, record: PolicyRecord) -> Policy | tuple[Finding, ...]:
+        # A restored store shows all records in a new era, most of them unchanged.
+        valid = self.valid.get(record.key)
+        if valid is not None and valid.body == record.body:
+            return self.policies[record.key]
+        return parse_copy(record)
+
     def _put_latest(
         self, record: PolicyRecord, parsed: Policy | tuple[Finding, ...]
     ) -> bool:
         current = self.latest.get(record.key)
         if current is not None and current[1:] >= record[1:]:
             return False
+        if current is not None:
+            self.superseded.add(current, record)
         self.latest[record.key] = record
         self.findings.pop(record.key, None)
         if not isinstance(parsed, Policy):
@@ -120,7 +140,8 @@
             return
         parsed = parse_copy(latest)
         if isinstance(parsed, Policy) and parsed.state == "active":
-            message = f"retired at revision {rank.revision}, use a new version number"
+            position = StorePosition.unpack(rank.revision)
+            message = f"retired at revision {position}, use a new version number"
             self.findings[key] = (Finding(key, "$.state", message),)
 
 
