--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,6 +3,8 @@
 ``POST /control`` sets faults: ``down`` (bool), ``delay_ms``, ``lose_answers`` (number
 of writes that take effect but whose connection then breaks), ``hold_watches`` (bool),
 ``list_delay_s`` (how far the instance list lags). ``GET /control/calls`` counts calls.
+``POST /control/copy`` saves a copy of the store, ``POST /control/restore`` restores it:
+an era begins, which the store names from then on.
 """
 
 from __future__ import annotations
@@ -21,6 +23,7 @@
 MAX_VALUE_BYTES = 1_048_576
 MAX_LIST_BYTES = 16_777_216
 MAX_EVENTS = 100_000
+ERA_HEADER = "Store-Era"
 MS_PER_S = 1_000
 LEASE_CHECK_INTERVAL_S = 0.05
 
@@ -56,6 +59,9 @@
             maxlen=MAX_EVENTS
         )
         self.leases: dict[str, Lease] = {}
+        self.era = 0
+        self.copy: tuple[int, dict[str, StoredEntry]] = (0, {})
+        self.oldest_revision = 0
         self.instances: list[dict[str, Any]] = []
         self.visible_instances: list[dict[str, Any]] = []
         self.faults: dict[str, Any] = {
@@ -88,6 +94,8 @@
                 web.put("/control/instances", self.set_instances),
                 web.post("/control", self.set_faults),
                 web.get("/control/calls", self.count_calls),
+                web.post("/control/copy", self.save_copy),
+                web.post("/control/restore", self.restore_copy),
             ]
         )
         application.cleanup_ctx.append(self.run_lease_expiry)
@@ -106,7 +114,12 @@
             await asyncio.sleep(self.faults["delay_ms"] / MS_PER_S)
         if self.faults["down"] and is_store_call:
             return break_connection(request)
+        era = self.era
         response = await handler(request)
+        if era != self.era and is_store_call:
+            return break_connection(request)
+        if era:
+            response.headers[ERA_HEADER] = str(era)
         writes = request.method in ("PUT", "DELETE", "POST")
         if is_store_call and writes and self.faults["lose_answers"] > 0:
             self.faults["lose_answers"] -= 1
@@ -180,7 +193,7 @@
         after = int(request.query["after_revision"])
         deadline = time.monotonic() + int(request.query["wait_ms"]) / MS_PER_S
         oldest = self.events[0]["revision"] if self.events else 1
-        if after > self.revision or after + 1 < oldest:
+        if after > self.revision or after + 1 < oldest or after < self.oldest_revision:
             return web.json_response({"revision": self.revision}, status=410)
         while True:
             revision = self.revision
@@ -280,6 +293,23 @@
             self.change_condition.notify_all()
         return web.json_response(self.faults)
 
+    async def save_copy(self, request: web.Request) -> web.Response:
+        """Saves a copy of the store."""
+        self.copy = (self.revision, dict(self.entries))
+        return web.json_response({"revision": self.revision})
+
+    async def restore_copy(self, request: web.Request) -> web.Response:
+        """Restores the store from its copy; leases and history are lost."""
+        self.revision, entries = self.copy
+        self.entries = dict(entries)
+        self.events.clear()
+        self.oldest_revision = self.revision
+        self.leases.clear()
+        self.era += 1
+        async with self.change_condition:
+            self.change_condition.notify_all()
+        return web.json_response({"revision": self.revision, "era": self.era})
+
     async def count_calls(self, request: web.Request) -> web.Response:
         """Serves the calls to the store by kind, and wall-clock times of the latest."""
         return web.json_response(
