End a stop though a caller's further input is not read

What callers could see: none; a stop would last until the end of the grace period for a caller that sends ahead of a streamed response, which carries no close, after its input was ended. Found in reading the change. Cause: what is not read any more counted as a request that has arrived. Change: a connection whose input has ended is idle once all that was read is answered. Result: the new case in tests/node/test_closing_connections.py fails before (5 s) and passes.

--- a/src/verbenacross/transport/caller_protocol.py
+++ b/src/verbenacross/transport/caller_protocol.py
@@ -154,7 +154,7 @@
         is_waiting = self._waiter is not None and not self._waiter.done()
         if not is_waiting or self.is_closing():
             return False
-        return not self._has_unread_input()
+        return self._is_input_ended or not self._has_unread_input()
 
     def _has_unread_input(self) -> bool:
         return has_unread_input(self._connection.get_extra_info("socket"))
--- a/tests/node/test_closing_connections.py
+++ b/tests/node/test_closing_connections.py
@@ -356,3 +356,18 @@
     site.receive_in_kernel(b"x" * 10)
 
     assert not connection.has_input_behind()
+
+
+async def test_end_of_a_stop_does_not_wait_for_input_that_is_no_longer_read(site):
+    """Guards against a stop that lasts until it is cut off, for a streamed response.
+
+    Such a response does not close its connection.
+    """
+    site.connection.end_input()
+    site.connection.end_input()
+    site.receive_in_kernel(REQUEST)
+    started = asyncio.get_running_loop().time()
+
+    await site.server.close_idle(started + 5.0)
+
+    assert asyncio.get_running_loop().time() - started < 1.0
